Advise refused clients with the longest return that the settings allow

Cause: max_retry_after_ms was read and never used. A refusal advised the module's own retry wait, 17 to 34 ms, so whoever followed it came back into the same jam; and where the settings allow no advice it was given all the same. Now it is max_retry_after_ms, and no header where that is 0.

The inherited test of the refusal allowed any advice up to 0.5 s in a deployment that allows none; it now names both cases.

--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -441,7 +441,7 @@
         window_ms = call.cls.window_ms - self.settings.tick_ms
         return call.cls.repeat is Repeat.KEYED and now - call.ran_ms < window_ms
 
-    def _back_off(self, call: Call) -> float:  # before a retry, or before the caller's own next try
+    def _back_off(self, call: Call) -> float:  # before a retry
         base = min(RETRY_WAIT_MS, RETRY_WAIT_SHARE * call.cls.aim_ms)
         return base * 2.0 ** max(0, call.attempts - 1)
 
@@ -462,7 +462,9 @@
             self.record.ended(call.cls.name, False)
             everywhere = call.cls.repeat is Repeat.KEYED and call.cls.group is Group.ALL
             harmless = not call.out and (call.ran_ms is None or everywhere or call.cls.repeat is Repeat.SAFE)
-            self._actions.append(api.Refuse(call.id, self._back_off(call)) if harmless else api.Fail(call.id))
+            # It says that the tier bears no more now: a client back in 17 ms, as a retry is, fed the jam.
+            advice_ms = self.settings.max_retry_after_ms
+            self._actions.append(api.Refuse(call.id, advice_ms) if harmless else api.Fail(call.id))
 
     def _set_timer(self, call: Call, delay_ms: float) -> None:
         self._token = call.token = self._token + 1
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -223,7 +223,8 @@
             case api.Fail():
                 self._finish(action.id, Reply(502, b"failed"))
             case api.Refuse():
-                self._finish(action.id, Reply(503, b"refused", retry_after_s=action.retry_after_ms / 1000.0))
+                advice_s = action.retry_after_ms / 1000.0 or None  # 0: the module gives none
+                self._finish(action.id, Reply(503, b"refused", retry_after_s=advice_s))
             case api.Cancel():
                 attempt = self._attempts.get((action.id, action.attempt))
                 if attempt is not None:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -644,6 +644,15 @@
         assert isinstance(answer, end)
 
 
+@pytest.mark.parametrize("longest_ms", [0.0, 250.0, 1000.0])
+def test_a_refusal_advises_the_longest_that_callers_follow(longest_ms: float) -> None:
+    # It advised the wait before the module's own retry, 17 ms: whoever followed it came back to the jam.
+    node = Node(max_attempts=1, max_retry_after_ms=longest_ms)
+    node.ask("a")
+    [answer] = ends(node.end("a", Result.ERROR))
+    assert isinstance(answer, api.Refuse) and answer.retry_after_ms == longest_ms
+
+
 def test_idle_connections_are_closed_after_two_losses_on_such() -> None:
     """Rosario fresh-big: connections dropped while idle answer nothing, at all servers alike."""
     node = Node(servers=4, tier=1)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -321,13 +321,18 @@
     run(test())
 
 
-def test_a_request_given_up_on_is_refused_at_once(tmp_path: Path) -> None:
+@pytest.mark.parametrize(("allowed", "advice_s"), [(True, 0.5), (False, None)])
+def test_a_request_given_up_on_is_refused_at_once(
+    tmp_path: Path, allowed: bool, advice_s: float | None
+) -> None:
     async def test() -> None:
         server = Server()
-        async with world(tmp_path, server) as scene:
+        permissions = {"retry_after": allowed, "max_retry_after_ms": 500.0}
+        async with world(tmp_path, server, permissions=permissions) as scene:
             reply = await scene.ask("a", "pay", budget="0.001")  # no time left for an attempt
             assert reply.status == 503 and not server.seen
-            assert 0.0 < float(reply.headers["retry-after"]) <= 0.5  # T1
+            advice = reply.headers.get("retry-after")
+            assert advice_s == (None if advice is None else float(advice))
 
     run(test())
 
