Log each request that ended badly, with its attempts, 20 lines a second at most

The log said nothing of a request: which one ended badly, on which server, after how long. One line a request now tells that; the bound keeps a jam from spending the node's CPU on its log. No change to what callers see.

--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 
 from nickelbridge import interface as api
+from nickelbridge.bucket import Bucket
 from nickelbridge.interface import Result
 from nickelbridge.logic import Balancer
 from orchidferry.config import Address, Config, Listing, now_ms
@@ -32,6 +33,7 @@
 SPARE_SOCKETS = 24  # of the limit: listener, discovery, event loop, log, and sockets half closed
 CALLERS_SHARE = 0.55  # of the limit: the rest is for attempts, one to each of a third of it, and idle ones
 PUSHED_RETRY_S = 0.5  # after a failure of the node's own agent, where lists come unasked
+TRACES_PER_S = 20.0  # lines at most on requests that ended badly, so that a jam does not spend CPU on its log
 
 log = logging.getLogger("orchidferry")
 
@@ -39,14 +41,15 @@
 class Live:
     """A request that is owed its answer, with its attempts."""
 
-    __slots__ = ("_node", "answer", "attempts", "backstop", "ends_ms", "id", "message")
+    __slots__ = ("_node", "answer", "attempts", "backstop", "came_ms", "ends_ms", "id", "message", "story")
 
     def __init__(
         self, node: Node, id: str, message: Message, answer: Callable[[Reply], None], ends_ms: float
     ) -> None:
         self._node, self.id, self.message, self.answer = node, id, message, answer
-        self.ends_ms = ends_ms
+        self.came_ms, self.ends_ms = now_ms(), ends_ms
         self.attempts = 0  # begun so far
+        self.story: list[str] = []  # how each of them ended, for the log
         self.backstop: asyncio.TimerHandle | None = None
 
     def caller_gone(self) -> None:
@@ -92,6 +95,7 @@
             self._balancer.classes, self.accept, lambda: bool(self._in_service),
             int(CALLERS_SHARE * config.sockets),
         )  # fmt: skip
+        self._traces = Bucket(TRACES_PER_S, now_ms())
         self._longest_ms = 0.0  # the longest budget so far
         self._stop_ms = math.inf  # when all must be answered, once the node is to end
 
@@ -169,6 +173,7 @@
     def caller_gone(self, live: Live) -> None:
         """Nobody waits any more."""
         if self._drop(live):
+            self._trace(live, "left by its caller")
             self._handle(api.ClientGone(live.id))
 
     def _drop(self, live: Live) -> bool:
@@ -183,8 +188,20 @@
     def _finish(self, id: str, reply: Reply) -> None:
         live = self._live.get(id)
         if live is not None and self._drop(live):
+            if reply.status != 200:
+                self._trace(live, f"answered {reply.status}")
             live.answer(reply)
 
+    def _trace(self, live: Live, end: str) -> None:
+        """Log a request that ended badly, from its arrival on, with every attempt."""
+        now, message = now_ms(), live.message
+        if self._traces.take(TRACES_PER_S / 1000.0, TRACES_PER_S, now):
+            log.info(
+                "request %s %s %s after %.1f of %.1f ms: %s%s", message.id, message.cls, end,
+                now - live.came_ms, message.budget_ms, "; ".join(live.story) or "no attempt ended",
+                f"; {out} out" if (out := live.attempts - len(live.story)) else "",
+            )  # fmt: skip
+
     def _overdue(self, live: Live) -> None:
         """Fail a request that the module has not ended by its deadline, whatever the reason."""
         left_ms = live.ends_ms - now_ms()
@@ -192,6 +209,7 @@
             live.backstop = self._loop.call_later(left_ms / 1000.0 + 0.001, self._overdue, live)
         elif self._drop(live):
             log.warning("request %s was not ended by its deadline", live.message.id)
+            self._trace(live, "answered 504")
             live.answer(Reply(504, b"no answer in time"))
             self._handle(api.ClientGone(live.id))
 
@@ -253,13 +271,16 @@
 
         def ended(result: Result, answer: Answer | None) -> None:
             self._attempts.pop((action.id, number), None)
+            took_ms = now_ms() - sent_ms
+            began_ms = sent_ms - live.came_ms
+            live.story.append(
+                f"{result.name} at {address[0]}:{address[1]} from {began_ms:.1f} for {took_ms:.1f}"
+            )
             if result is Result.SERVED and answer is not None:
                 self._finish(action.id, Reply(200, answer.body, answer.content_type))
             settled = action.id not in self._live
             report = answer.report if answer is not None else None
-            self._handle(
-                api.AttemptEnded(action.id, number, server, result, now_ms() - sent_ms, settled, report)
-            )
+            self._handle(api.AttemptEnded(action.id, number, server, result, took_ms, settled, report))
 
         address = self._addresses[server]
         message = request_bytes(live.message, address, timeout_ms)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -15,6 +15,7 @@
 import pytest
 
 from nickelbridge import interface as api
+from nickelbridge.bucket import Bucket
 from nickelbridge.logic import Balancer
 from orchidferry.config import address, server_id
 from tests.peers import (
@@ -337,6 +338,44 @@
     run(test())
 
 
+def test_a_request_that_ends_badly_is_told_in_the_log_with_its_attempts(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level(logging.INFO, "orchidferry")
+
+    async def test() -> None:
+        server = Server(answer(), answer(500))
+        async with world(tmp_path, server) as scene:
+            await scene.ask("good", "pay")
+            await scene.ask("bad", "pay")
+
+    run(test())
+    [line] = [text for text in caplog.messages if text.startswith("request ")]
+    assert line.startswith("request bad pay answered 502 after ")
+    assert "ERROR at 127.0.0.1:" in line and line.count(";") == 0
+
+
+class Dry(Bucket):
+    """Into which nothing comes, however slow the machine."""
+
+    def refill(self, per_ms: float, most: float, now: float) -> float:
+        return self.tokens
+
+
+def test_the_log_of_bad_ends_is_bounded(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.INFO, "orchidferry")
+
+    async def test() -> None:
+        async with world(tmp_path, Server(usual=answer(500))) as scene:
+            assert scene.node is not None
+            scene.node._traces = Dry(2.0, 0.0)
+            for n in range(5):
+                await scene.ask(f"{n}", "pay")
+
+    run(test())
+    assert sum(text.startswith("request ") for text in caplog.messages) == 2
+
+
 BAD = {
     "no HTTP": (b"\x16\x03\x01 nonsense\r\n\r\n", 400),
     "bad version": (b"GET /read HTTP/9\r\n\r\n", 400),
