Shrink the window's added calls as the measured delay passes the target

Cause: at the clients' tier the window adds two calls a server to what Little's law gives, however long the delay already is. Boxes here serve one call at a time and keep the slot while they wait for the next tier, so the addition alone held the delay at twice the target and over the aim. It is now divided by the delay in targets; at the target and below nothing changes.

--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -103,7 +103,10 @@
             return START * part + self.answers.events
         self.answers.count(0.0, now)
         # i35d8eb: with nothing added it spirals down where the normal delay is over its share of the aim.
-        usual = ADDED * part + self.answers.per_s() * WINDOW_SHARE * self._aim_s / self._samples
+        # Else what is added alone keeps the delay over the target: rota, two calls to boxes that serve one.
+        over = 1.0 - self._excess_s / (TARGET_SHARE * self._aim_s)  # the delay, in targets
+        added, aim_s = ADDED * part / max(1.0, over), self._aim_s / self._samples
+        usual = added + self.answers.per_s() * WINDOW_SHARE * aim_s
         return usual + max(0.0, FEW - usual) * self.allowed_rate / (self.tuned_rate or 1.0)
 
     def retry_probability(self, now: float) -> float:
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -123,3 +123,16 @@
         controller.answered(1000.0 * delay_s, 1000.0, now, True)
         outstanding = controller.window(4.0, now)
     assert outstanding > 2.0 * 4.0
+
+
+def test_the_windows_added_calls_shrink_as_the_delay_passes_the_target() -> None:
+    """rota rough-1: two calls a server beyond Little's law, at boxes that serve one, kept all late."""
+    windows = {}
+    for delay_ms in (400.0, 800.0, 1600.0):  # one, two and four targets
+        controller, now = DelayController(), 0.0
+        for _ in range(200):
+            now += 50.0
+            controller.answered(delay_ms, 1000.0, now, True)
+        windows[delay_ms] = controller.window(10.0, now) - controller.answers.per_s() * WINDOW_SHARE
+    added = ADDED * 10.0
+    assert windows == pytest.approx({400.0: added, 800.0: added / 2.0, 1600.0: added / 4.0})
