Pick among the servers that hold the fewest of the copy's calls

Cause: a server was passed over only once it held its part of what is outstanding and one more. Boxes here serve one call at a time, so with two or three calls out the rotation put one behind another of the same copy while boxes stood idle. Now the rotation goes over those that hold the fewest of the copy's calls for its part; calls lost on dead connections do not count, as before.

--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -27,7 +27,6 @@
 HOLD_SHARES = (0.08, 0.5)  # of its aim: how long a call may wait for room; deeper, giving up wastes more
 SAMPLES, FEW_SAMPLES = 20.0, 4.0  # answers measured; fewer show their error in part, as one may be chance
 RETRY_WAIT_MS, RETRY_WAIT_SHARE = 500.0, 0.2  # T1, or less by aim, doubling with each attempt, with jitter
-CROWD = 1.2  # a server holding so many times its part of what is outstanding, and one more, is passed over
 LIMIT_CUT = 0.9  # what a server may hold from here after it has turned an attempt away
 SLOW_FROM, SLOW_POWER = 1.5, 4.0  # times its peers' delay: a weight falls, so steeply that it gets rest
 REPORT_MS = 5_000.0  # the time in which a reported queue fades, by whose cube its weight is divided
@@ -174,6 +173,10 @@
             for sent_ms, aim_ms in self.out.values()
         )
 
+    def holds(self, now: float, usual_share: float) -> float:
+        """How many calls it works on for this copy, for the part of it that is this copy's to use."""
+        return (self.inflight - self.lost(now, usual_share)) / self.part if self.part else math.inf
+
     def eject(self, now: float, rng: random.Random) -> None:
         """Keep away for a while, longer each time in a row, with jitter; it then returns by itself."""
         if now >= self.shut_ms:
@@ -370,9 +373,8 @@
 
     def _candidates(self, call: Call, now: float) -> list[tuple[Server, float]]:
         """The servers that may get the call's next attempt, with their weights."""
-        found: list[tuple[Server, float]] = []
-        crowded, total = found[:], 0.0
-        fair = CROWD * self.inflight / self._weight if self._weight else math.inf
+        ready: list[tuple[Server, float]] = []
+        total = 0.0
         for server in self.fleet.ready if call.ran_ms is None else self.fleet.group(call):
             weight = server.part
             if server.started_ms is not None:
@@ -382,14 +384,16 @@
                 weight *= warmth
             weight *= server.pace(now, self._share)
             total += weight
-            # A slow or stuck server shows first by what it holds: passed over till its peers hold alike.
-            room = server.inflight < min(server.limit, 1.0 + fair * weight)
-            (found if room and now >= server.shut_ms else crowded).append((server, weight))
+            if server.inflight < server.limit: ready.append((server, weight))
         self._weight = total if call.ran_ms is None else self._weight
-        found = found or [(server, weight) for server, weight in crowded if server.inflight < server.limit]
+        found = [(server, weight) for server, weight in ready if now >= server.shut_ms] or ready
         if call.last is not None and len(found) > 1:  # elsewhere than last time, where there is a choice
             found = [(server, weight) for server, weight in found if server is not call.last]
-        return found
+        # A slow or stuck server shows first by what it holds: passed over till its peers hold alike. With one
+        # more allowed, rota: a call waited behind another where a box that serves one at a time stood idle.
+        held = [server.holds(now, self._share) for server, _ in found]
+        least = min(held, default=0.0)
+        return [pair for pair, holds in zip(found, held, strict=True) if holds <= least]
 
     def _cold_budget(self, server: Server, warmth: float, now: float) -> float:
         """This copy's part of a cold server's budget, in attempts; its capacity is guessed from its peers."""
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -700,3 +700,20 @@
     assert not timers(actions) and len(ends(actions)) == 1
     node.ask("b", ttl_ms=600.0)  # with time left for it, a retry still goes out
     assert timers(node.end("b", Result.ERROR, 10.0))
+
+
+def test_a_call_does_not_wait_behind_another_of_the_copy_while_a_peer_stands_idle() -> None:
+    """rota: boxes serve one at a time, and the next turn went to one that still worked for this copy."""
+    node = Node(servers=4)
+    node.serve(40)
+    for n in range(4):
+        node.ask(f"a{n}")
+    assert len({node.sent[f"a{n}"][0] for n in range(4)}) == 4
+    [busy] = node.sent["a0"]  # whose turn it is next
+    for n in range(1, 4):
+        node.end(f"a{n}", Result.SERVED)
+    for n in range(3):
+        node.ask(f"b{n}")
+    assert busy not in [node.sent[f"b{n}"][0] for n in range(3)]
+    node.ask("c")
+    assert node.sent["c"][0] == busy  # now all hold alike, and the rotation goes on
