--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -531,7 +531,7 @@
     def _judge_idle(self, call: Call, event: api.AttemptEnded) -> None:
         """Two losses on idled connections, none served that idled as long: close such before use."""
         idle_ms, result = call.idle_ms, event.result
-        # A reset sooner than any answer tells that the connection was gone: rota, one in six after 100 ms. The
+        # A reset sooner than any answer tells that the connection was gone: rota, one in six after 0.1 s. The
         # five served between two such kept it from being learnt. Of two, the longer: one may be chance.
         if result is Result.RESET and event.duration_ms < GONE_SHARE * self._share * call.cls.aim_ms:
             self._idle_ms = min(self._idle_ms, IDLE_CUT * max(idle_ms, self._gone_ms))
