Send no further attempt whose answer can only come after the aim, if that is worthless

Cause: the settings say what an answer after the aim is worth, and the module never read it (late_worth). Here it is nothing, yet retries went out until the caller's own end, 20 to 120 ms past the aim, and took slots from calls that could still be in time.

Evidence: traced requests of sev7749 and sev5504 ended 'TIMEOUT from 0.0 for 94 ms', at an aim of 86, and then tried again.

--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -254,6 +254,8 @@
     def __init__(self, event: api.Request, cls: api.RequestClass, now: float) -> None:
         self.id, self.cls, self.over_share = event.id, cls, False
         self.arrived_ms, self.ends_ms = now, now + event.ttl_ms
+        # Until when an answer is worth anything: past the aim often nothing, though the caller still waits.
+        self.worth_ms = self.ends_ms if cls.late_worth else min(self.ends_ms, now + cls.aim_ms)
         self.attempts, self.out, self.sent_ms = 0, False, now  # whether one is out, and since when,
         self.idle_ms = 0.0  # on a connection that had idled for so long
         self.held, self.token = False, 0  # waits for room; the timer it waits for
@@ -461,7 +463,7 @@
         # Its answer must still be able to come: tier 0 sent retries with 3 ms left, all of them waste.
         starts = now + wait + max(2.0 * self.settings.tick_ms, self._share * call.cls.aim_ms)
         more = call.attempts < self.settings.max_attempts and self._repeatable(call, starts)
-        if starts < call.ends_ms and more:
+        if starts < call.worth_ms and more:
             self._set_timer(call, wait)
         else:
             self._end(call)
