Cut first attempts early only by their tier's part of the aim

Cause: where a second attempt fits into 1.25 of the aim, a first one is given up at four usual delays. The aim is that of the whole chain, so the last tier cut calls at half of it and sent them again. Boxes go on working for what was given up, so a call with much work cost it twice. The bound is now divided by the tier's place in the chain; the clients' tier is as before.

--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -435,7 +435,10 @@
         # i2750ee: calls to a lost zone that wait out a whole deadline fill the slots of the tier above.
         # Only where a second attempt can still be answered within the aim: in churn+long a slow tier's calls
         # were cut for one that met a full window, and ended.
-        soon = call.attempts == 1 and not once and (HASTE + 1.0) * self._share <= HASTE_SHARE
+        # The aim is the whole chain's: rota, at the last of three tiers calls were cut at half of it and sent
+        # again, while the boxes went on working for them.
+        in_time = (HASTE + 1.0) * self._share <= HASTE_SHARE / (1 + self.settings.tier)
+        soon = call.attempts == 1 and not once and in_time
         patience = HASTE if soon else PATIENCE
         most = patience * self._share * cls.aim_ms if self._seen >= SAMPLES else left
         self._actions.append(api.Send(call.id, server.id, min(most, wait), once))
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -769,3 +769,12 @@
     node.ask("a", "read")
     actions = node.end("a", Result.ERROR, 950.0)
     assert bool(timers(actions)) is retried and bool(ends(actions)) is not retried
+
+
+@pytest.mark.parametrize(("tier", "hasty"), [(0, True), (2, False)])
+def test_a_first_attempt_is_cut_early_only_by_its_tiers_part_of_the_aim(tier: int, hasty: bool) -> None:
+    """rota: the last tier of three cut calls at half the aim of the whole chain, and did their work twice."""
+    node = Node(servers=4, tier=tier, tiers=3)
+    node.serve(100, delay_ms=120.0)
+    [send] = sends(node.ask("a"))
+    assert (send.timeout_ms < 5.0 * 120.0) is hasty
