Let a connection to a server rest 10 ms after an answer before it is used again

With the crossing forced on a socket the next request got `for a` in place of `for b`.

Ruled out: telling them apart (an answer carries nothing of its request, by the protocol and by what was read off the socket); asking the socket before the write (it is asked, nothing had come yet).

At fault: upstream.py, `Connection._end` put the connection back at once, `Upstream.send` took the most recently used one.

--- a/orchidferry/upstream.py
+++ b/orchidferry/upstream.py
@@ -26,6 +26,9 @@
 IDLE_SHARE = 0.5  # of the servers' idle limit: a request that crosses their close ends as a reset
 # What a dial fails with for want of something here, whatever the server does.
 OWN_SHORTAGE = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
+# A second answer may come some milliseconds after the first (join+brink: 0.8 to 3.6 ms). Nothing in it tells
+# which request it answers, so a connection rests for so long before the next one goes out on it.
+REST_MS = 10.0
 SWEEP_S = 1.0  # how often connections that have idled too long are looked for
 
 log = logging.getLogger("orchidferry")
@@ -104,6 +107,7 @@
 
     def __init__(self, pool: Upstream, server: int, address: Address) -> None:
         self.server, self.address, self.idle_since = server, address, 0.0
+        self.rests_till = 0.0  # no request goes out on it before
         self._pool = pool
         self._transport: asyncio.Transport
         self._attempt: Attempt | None = None
@@ -207,6 +211,7 @@
     def _end(self, result: Result, reuse: bool, answer: Answer | None = None) -> None:
         attempt, self._attempt = self._attempt, None
         if reuse and not self._paused and self.usable():
+            self.rests_till = now_ms() + REST_MS
             self._pool.put_back(self)  # first: what the outcome sets off may use it
         else:
             self.close()
@@ -297,12 +302,10 @@
         idle = self._idle.get(server, [])
         if fresh and idle:
             idle[0].close()  # the new one takes its place, or they would add up
-        while idle and not fresh:
-            connection = idle.pop()  # the most recently used, so that the rest can grow old and go
-            if connection.usable() and connection.address == address:
-                connection.carry(attempt)
-                return attempt
-            connection.close()
+        connection = None if fresh else self._take_idle(server, address)
+        if connection is not None:
+            connection.carry(attempt)
+            return attempt
         if self._room() <= 0 and not self.close_oldest_idle():
             # Our own shortage: it never ran, and says nothing about the server.
             attempt.end(Result.MOOT)
@@ -313,6 +316,16 @@
         attempt.carried_by(dial.cancel)
         return attempt
 
+    def _take_idle(self, server: int, address: Address) -> Connection | None:
+        """The most recently used that has rested, so that the others can grow old and go."""
+        now, idle = now_ms(), self._idle.get(server, [])
+        for connection in [c for c in reversed(idle) if c.rests_till <= now]:
+            if connection.usable() and connection.address == address:
+                idle.remove(connection)
+                return connection
+            connection.close()
+        return None
+
     async def _dial(self, attempt: Attempt, server: int, address: Address) -> None:
         connection = Connection(self, server, address)
         result, kept = Result.UNREACHABLE, False
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -17,9 +17,10 @@
 from nickelbridge import interface as api
 from nickelbridge.interface import Result
 from nickelbridge.logic import Balancer
+from orchidferry import upstream
 from orchidferry.config import Address
 from orchidferry.upstream import Answer, Connection, Upstream, read_report
-from tests.peers import CLOSE, HANG, LIMIT_S, RESET, Server, answer, request, run, until, world
+from tests.peers import CLOSE, HANG, LIMIT_S, RESET, Peer, Seen, Server, answer, request, run, until, world
 
 NOISE = b"\x00\xff not HTTP at all\r\n\r\n"
 MAY_HAVE_RUN = {
@@ -149,10 +150,12 @@
         host, port = address.split(":")
         self.address: Address = (host, int(port))
         self.results: list[Result] = []
+        self.answers: list[Answer | None] = []
 
     def send(self, id: str, alive: list[bool] | None = None) -> None:
         def ended(result: Result, answer: Answer | None) -> None:
             self.results.append(result)
+            self.answers.append(answer)
 
         self.upstream.send(
             1, self.address, request(id), 20_000.0, lambda: alive is None or alive[0], ended
@@ -285,6 +288,38 @@
     run(test())
 
 
+class Twice(Peer):
+    """Answers the first request a second time, as soon as the next one has come."""
+
+    async def script(self, message: Seen) -> bytes:
+        if message.id == "a":
+            [self.first] = self._writers
+        else:
+            self.first.write(answer(200, b"for a"))
+        return answer(200, b"for " + message.id.encode())
+
+
+def test_a_second_answer_that_comes_late_is_not_taken_for_that_to_the_next_request(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Nothing in an answer tells which request it is for, so a connection rests before the next goes out."""
+    monkeypatch.setattr(upstream, "REST_MS", 60_000.0)  # the next comes within it on any machine
+
+    async def test() -> None:
+        server = Twice()
+        await server.start()
+        attempts = Attempts(server.address)
+        attempts.send("a")
+        assert await attempts.result(1) is Result.SERVED
+        attempts.send("b")
+        assert await attempts.result(2) is Result.SERVED
+        assert [taken.body for taken in attempts.answers if taken is not None] == [b"for a", b"for b"]
+        await until(lambda: attempts.upstream.count() == 1)  # the first goes with what nobody asked for
+        await server.stop()
+
+    run(test())
+
+
 class ShortLoop:
     """The event loop, but for connecting, which fails in a given way."""
 
