Ask for the whole list first, and send on the saved one only if that call fails

What the agent holds counts as told from a process's first moment; the node heard of it only if it was newer than the saved version, and versions need not be those of the agent asked now: after a move they are another's. With the first call held by the agent, a request went to a server that the agent's list had no more.

At fault: node.py `start`, which took the saved list before any call; discovery.py, whose first call was a watch.

Tests count watches where they counted calls, as one call more comes first.

--- a/orchidferry/discovery.py
+++ b/orchidferry/discovery.py
@@ -80,12 +80,13 @@
         self,
         loop: asyncio.AbstractEventLoop,
         address: Address,
-        index: int,
         news: Callable[[Listing | None, str], None],
     ) -> None:
         self._loop, self._address, self._news = loop, address, news
-        self._index = index
-        self._whole = False  # the next call asks for the whole list
+        self._index = 0
+        # The next call asks for the whole list. The first does: versions need not be those that an earlier
+        # process heard, and unlike a watch it is answered at once also where nothing has changed.
+        self._whole = True
         self._closed = False
         self._channel: _Channel | None = None
         self._asking: _Channel | asyncio.Task[None] | None = None  # what the call that is out runs on
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -91,7 +91,8 @@
         self._addresses: dict[int, Address] = {}
         self._in_service: set[int] = set()
         self._upstream = Upstream(loop, settings.connect_timeout_ms, settings.keepalive_ms, self._room)
-        self._discovery = Discovery(loop, config.discovery, config.known.index, self._on_news)
+        self._discovery = Discovery(loop, config.discovery, self._on_news)
+        self._asked = False  # the first call to discovery has ended
         self.frontend = Frontend(
             self._balancer.classes, self.accept, lambda: bool(self._in_service),
             int(CALLERS_SHARE * config.sockets),
@@ -101,8 +102,7 @@
         self._stop_ms = math.inf  # when all must be answered, once the node is to end
 
     def start(self) -> None:
-        """Let the module begin, with the list as this node last had it."""
-        self._take_listing(self._config.known, api.ListKind.SAVED)
+        """Let the module begin, and ask for the list: the node is ready once that call has ended."""
         self._handle(api.Started())
         if not self._config.settings.follow_list:
             self._discovery.subscribe()
@@ -292,6 +292,11 @@
     # Discovery
 
     def _on_news(self, listing: Listing | None, why: str) -> None:
+        first, self._asked = not self._asked, True
+        if listing is None and first:
+            # What the agent holds counts as told from the process's first moment, so the list that this node
+            # last had, perhaps long ago, is for when there is no other.
+            self._take_listing(self._config.known, api.ListKind.SAVED)
         if listing is not None:
             self._take_listing(listing, api.ListKind.FULL if listing.whole else api.ListKind.CHANGES)
             return
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -159,6 +159,12 @@
         self.whole: list[dict[str, Any]] = []
         self.news: asyncio.Queue[bytes] = asyncio.Queue()
         self.spoil: list[bytes] = []
+        self.gate = asyncio.Event()  # for whole lists
+        self.gate.set()
+
+    def watches(self) -> int:
+        """How many calls have come that wait for news."""
+        return sum("index=" in seen.target for seen in self.seen)
 
     def tell(self, *entries: dict[str, Any], index: int | None = None, snapshot: bool = False) -> None:
         self.index = self.index + 1 if index is None else index
@@ -172,6 +178,7 @@
         if self.spoil:
             return self.spoil.pop(0)
         if "index=" not in message.target:
+            await self.gate.wait()
             return self.listing(self.whole, True)
         return await self.news.get()
 
@@ -200,6 +207,10 @@
         self.write(request(*args, **kwargs))
         return await self.read()
 
+    async def ask_path(self, path: str) -> Seen:
+        self.write(f"GET {path} HTTP/1.1\r\n\r\n".encode())
+        return await self.read()
+
 
 def request(
     id: str, cls: str = "read", budget: str = "20", body: bytes = b"", extra: str = "", query: str = ""
