Take the time to end after SIGTERM from the settings' deadlines, not from budgets seen

Seen: the platform kills a node no sooner than the longest deadline (3 s at most) plus 0.7 s after SIGTERM. The node counted by the longest budget it had seen so far: after one request of 50 ms it gave itself 550 ms of the 3.7 s, and answered 504 to a request that still had 2 s (forced on a socket).

Ruled out: too long a wait in its place, for budgets are cut to the class's deadline as they come in.

At fault: node.py, `accept` and `stop`.

--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -25,7 +25,7 @@
 
 MARGIN_MS = 10.0  # of a budget: it ran before the request was read, and the answer takes its time
 # A planned end. Connections go on coming for 0.4 s after SIGTERM at least; SIGKILL follows no sooner than
-# the longest budget of a request, 3 s at most, and 0.7 s more.
+# the longest deadline of a class, 3 s at most, and 0.7 s more.
 ACCEPT_S = 0.45
 LONGEST_MS, KILL_MS = 3_000.0, 700.0
 STOP_MARGIN_MS = 200.0  # from the last answer to that kill
@@ -98,7 +98,7 @@
             int(CALLERS_SHARE * config.sockets),
         )  # fmt: skip
         self._traces = Bucket(TRACES_PER_S, now_ms())
-        self._longest_ms = 0.0  # the longest budget so far
+        self._longest_ms = min(LONGEST_MS, max(cls.deadline_ms for cls in settings.classes))
         self._stop_ms = math.inf  # when all must be answered, once the node is to end
 
     def start(self) -> None:
@@ -121,7 +121,7 @@
         Callers go on using the connections they have, and may have no other node to go to: these are
         served until just enough time is left to answer before the platform kills the node.
         """
-        grace_ms = KILL_MS - STOP_MARGIN_MS + min(LONGEST_MS, self._longest_ms or LONGEST_MS)
+        grace_ms = KILL_MS - STOP_MARGIN_MS + self._longest_ms
         asked_ms, self._stop_ms = now_ms(), now_ms() + grace_ms
         for live in self._live.values():  # that kill comes first
             if live.ends_ms > self._stop_ms:
@@ -153,7 +153,6 @@
         """Take a request; from now on it is owed exactly one call of `answer`."""
         if message.id in self._open_ids:
             raise Unacceptable("a request with this X-Call-Id is open")
-        self._longest_ms = max(self._longest_ms, message.budget_ms)
         self._serial += 1
         now, id = now_ms(), str(self._serial)
         live = Live(self, id, message, answer, min(now + message.budget_ms, self._stop_ms))
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -145,6 +145,27 @@
     run(test())
 
 
+def test_the_time_to_end_follows_the_settings_not_the_budgets_seen(tmp_path: Path) -> None:
+    """After one request of 50 ms the node had 550 ms to end, and cut what came with more time."""
+
+    async def test() -> None:
+        server = Server()
+        async with world(tmp_path, server) as scene:
+            assert scene.node is not None
+            caller = await scene.caller()
+            assert (await caller.ask("short", budget="0.05")).status == 200
+            server.gate.clear()
+            caller.write(request("long", budget="2.5"))
+            await until(lambda: len(server.seen) == 2)
+            stopping = asyncio.ensure_future(scene.node.stop(0.0))
+            await asyncio.sleep(1.0)  # the platform leaves it 3.7 s
+            server.gate.set()
+            assert (await caller.read()).status == 200
+            await asyncio.wait_for(stopping, LIMIT_S)
+
+    run(test())
+
+
 def test_what_is_taken_while_the_node_ends_is_answered_before_it_has_ended(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
