--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -155,9 +155,10 @@
             caller = await scene.caller()
             assert (await caller.ask("short", budget="0.05")).status == 200
             server.gate.clear()
+            stopping = asyncio.ensure_future(scene.node.stop())
+            await asyncio.sleep(0)
             caller.write(request("long", budget="2.5"))
             await until(lambda: len(server.seen) == 2)
-            stopping = asyncio.ensure_future(scene.node.stop(0.0))
             await asyncio.sleep(1.0)  # the platform leaves it 3.7 s
             server.gate.set()
             assert (await caller.read()).status == 200
