Accept what waits in the listener's queue before it is closed

Seen: with a connection made and its request written while the loop had no turn, closing the listener resets it: `ConnectionResetError` in place of an answer. By the protocol a request is taken once its last byte is on a connection that the node's machine accepted, so this one was lost.

At fault: frontend.py `close_listener`, which closed it without a look at the queue; the frontend had no hold of the socket.

--- a/orchidferry/frontend.py
+++ b/orchidferry/frontend.py
@@ -11,6 +11,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -329,6 +331,7 @@
         self._ready, self._most = ready, most
         self._stages: dict[Stage, dict[Caller, float]] = {stage: {} for stage in Stage}
         self._server: asyncio.Server | None = None
+        self._socket: socket.socket
         self._loop: asyncio.AbstractEventLoop
         self._leaving = self._closing = False
         self._empty = asyncio.Event()
@@ -336,10 +339,12 @@
     async def listen(self, loop: asyncio.AbstractEventLoop, address: Address) -> Address:
         """Accept callers from now on; the address, with the port that port 0 stands for."""
         self._loop = loop
-        server = await loop.create_server(lambda: Caller(self), *address, backlog=BACKLOG)
-        self._server = server
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        self._socket = socket.create_server(address, family=family, backlog=BACKLOG)
+        self._socket.setblocking(False)
+        self._server = await loop.create_server(lambda: Caller(self), sock=self._socket, backlog=BACKLOG)
         self._sweep()
-        host, port = server.sockets[0].getsockname()[:2]
+        host, port = self._socket.getsockname()[:2]
         return host, port
 
     def count(self) -> int:
@@ -395,10 +400,22 @@
         """Be ready no more: whoever asks sends its callers elsewhere."""
         self._leaving = True
 
-    def close_listener(self) -> None:
-        """Take no new connections; go on with those there are."""
-        if self._server is not None:
-            self._server.close()
+    async def close_listener(self) -> None:
+        """Take no new connections; go on with those there are.
+
+        Those that the kernel has accepted and the loop has not are among them: with a request on it such a
+        connection is the node's, and closing the listener would reset it.
+        """
+        if self._server is None:
+            return
+        accepted = []
+        with contextlib.suppress(OSError):  # none is left
+            while True:
+                accepted.append(self._socket.accept()[0])
+        self._server.close()
+        for connection in accepted:
+            with contextlib.suppress(OSError):  # its caller has gone
+                await self._loop.connect_accepted_socket(lambda: Caller(self), connection)
 
     async def wind_up(self) -> None:
         """Close what is idle; wait until all that is owed has been answered."""
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -136,7 +136,7 @@
                 await self.frontend.empty()
         except TimeoutError:
             log.info("closing connections %.0f ms after the signal", now_ms() - asked_ms)
-        self.frontend.close_listener()
+        await self.frontend.close_listener()
         try:
             async with asyncio.timeout((self._stop_ms + STOP_MARGIN_MS / 2.0 - now_ms()) / 1000.0):
                 await self.frontend.wind_up()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -167,6 +167,26 @@
     run(test())
 
 
+def test_a_connection_that_only_the_kernel_has_accepted_is_served_when_the_listener_closes(
+    tmp_path: Path,
+) -> None:
+    """It was reset: a request that the node's machine had taken was lost."""
+
+    async def test() -> None:
+        async with world(tmp_path, Server()) as scene:
+            assert scene.node is not None
+            await until(lambda: scene.node is not None and bool(scene.node._in_service))
+            with socket.create_connection(scene.address) as caller:  # the loop has no turn till the await
+                caller.settimeout(LIMIT_S)
+                caller.sendall(request("a"))
+                await scene.node.frontend.close_listener()
+                assert (await asyncio.to_thread(caller.recv, 1000)).startswith(b"HTTP/1.1 200")
+            with pytest.raises(ConnectionError):
+                await scene.caller()
+
+    run(test())
+
+
 def test_what_is_taken_while_the_node_ends_is_answered_before_it_has_ended(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
