Answer requests that wait unread on a connection before it is closed at a planned end

With a request written while the loop had no turn, `wind_up` closed the connection as idle; unread bytes make that a reset: `ConnectionResetError`. Clients send on every connection up to SIGKILL. On a kept one they send again on a new connection, on a new one nobody does.

Ruled out: a wait before the close, which moves the crossing but does not end it.

At fault: frontend.py `wind_up`, which knew only what the loop had read. It asks the socket now, as the servers' side does before a write.

The test failed before on the new and the kept one.

--- a/orchidferry/frontend.py
+++ b/orchidferry/frontend.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -178,12 +179,18 @@
         self._frontend.moved(self, stage)
 
     def wind_up(self) -> None:
-        """Close after what is under way; at once if nothing is."""
+        """Close after what is under way, read by the loop or not yet; at once if nothing is."""
         self._closing = True
-        if not self._busy and not self._reading and not self._queue:
+        if not self._busy and not self._reading and not self._queue and not self._polled(select.POLLIN):
             self._transport.close()
             self._settle()
 
+    def _polled(self, events: int) -> bool:
+        """Ask the socket itself: the loop hears of it only once a turn."""
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket").fileno(), events)
+        return bool(poll.poll(0))
+
     def time_out(self) -> None:
         """Its stage has lasted too long."""
         if self.stage is Stage.LEAVING:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -187,6 +187,31 @@
     run(test())
 
 
+@pytest.mark.parametrize("kept", [True, False], ids=["kept", "new"])
+def test_a_request_that_the_loop_has_not_read_is_answered_before_its_connection_is_closed(
+    kept: bool, tmp_path: Path
+) -> None:
+    """It was on a connection that the node had accepted, and closing that reset it."""
+
+    async def test() -> None:
+        async with world(tmp_path, Server()) as scene:
+            assert scene.node is not None
+            await until(lambda: scene.node is not None and bool(scene.node._in_service))
+            with socket.socket() as caller:
+                caller.settimeout(LIMIT_S)
+                await asyncio.to_thread(caller.connect, scene.address)
+                if kept:
+                    caller.sendall(request("a"))
+                    assert (await asyncio.to_thread(caller.recv, 1000)).startswith(b"HTTP/1.1 200")
+                await until(lambda: callers(scene) == 1)
+                caller.sendall(request("b"))  # the loop has no turn till the await
+                await scene.node.frontend.wind_up()
+                reply = await asyncio.to_thread(caller.recv, 1000)
+                assert reply.startswith(b"HTTP/1.1 200") and b"Connection: close" in reply
+
+    run(test())
+
+
 def test_what_is_taken_while_the_node_ends_is_answered_before_it_has_ended(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
