End a caller's requests as soon as it ends its sending, not once it has read all

Ruled out: resets, which reach the node at once, and an end with all written, where the close is at once.

At fault: frontend.py `eof_received`, which left it to `connection_lost` to let the request go.

--- a/orchidferry/frontend.py
+++ b/orchidferry/frontend.py
@@ -137,8 +137,11 @@
         self._settle()
 
     def eof_received(self) -> None:
-        # Closes, once what was written is out: a caller that ends its sending has gone away.
+        # Closes, once what was written is out: a caller that ends its sending has gone away, and though that
+        # may take its time nothing more is done for it.
         self._deaf = self._closing = self._ended = True
+        self._queue.clear()
+        self._let_go()
         self._settle()
 
     def pause_writing(self) -> None:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -68,26 +68,54 @@
     run(test())
 
 
+async def slow_reader(scene: World, deaf: socket.socket) -> frontend.Caller:
+    """Connect a caller whose socket and the node's own for it hold very little."""
+    deaf.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    await asyncio.to_thread(deaf.connect, scene.address)
+    await until(lambda: callers(scene) == 1)
+    assert scene.node is not None
+    [caller] = scene.node.frontend._stages[Stage.NEW]
+    own = caller._transport.get_extra_info("socket")
+    own.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    return caller
+
+
 @pytest.mark.usefixtures("soon")
 def test_a_caller_that_does_not_read_is_ended_and_read_from_no_more(tmp_path: Path) -> None:
     """What it was sent stayed in memory, and closing it waited for it to read."""
 
     async def test() -> None:
         async with world(tmp_path, Server(usual=answer(200, b"x" * 65536))) as scene:
-            assert scene.node is not None
             with socket.socket() as deaf:
-                deaf.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-                await asyncio.to_thread(deaf.connect, scene.address)
-                await until(lambda: callers(scene) == 1)
-                [caller] = scene.node.frontend._stages[Stage.NEW]
-                own = caller._transport.get_extra_info("socket")
-                own.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+                await slow_reader(scene, deaf)
                 deaf.sendall(b"".join(request(f"{n}") for n in range(8)))
                 await until(lambda: callers(scene) == 0)
 
     run(test())
 
 
+def test_a_caller_that_leaves_with_an_answer_unread_leaves_the_request_after_it_too(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its connection closes only once all is written; till then its request was sent again and again."""
+    monkeypatch.setitem(frontend.LIMITS_S, Stage.LEAVING, 1000.0)
+
+    async def test() -> None:
+        server = Server(answer(200, b"x" * 40_000), usual=HANG)
+        async with world(tmp_path, server) as scene:
+            with socket.socket() as leaver:
+                await slow_reader(scene, leaver)
+                leaver.sendall(request("a") + request("b"))
+                await until(lambda: len(server.seen) == 2)
+                assert scene.node is not None and len(scene.node._live) == 1
+                leaver.shutdown(socket.SHUT_WR)
+                async with asyncio.timeout(5.0):  # its budget is 20 s
+                    await until(lambda: scene.node is not None and not scene.node._live)
+                assert callers(scene) == 1  # what was written has not been read yet
+
+    run(test())
+
+
 def test_a_huge_body_is_refused_before_it_comes_and_the_refusal_can_be_read(tmp_path: Path) -> None:
     async def test() -> None:
         async with world(tmp_path, Server()) as scene:
