Ask a caller that was not read from whether it has gone before its next request is sent

Seen: a caller that does not read is not read from either, so its end of sending waits in the kernel; when it had taken its answer, the request queued behind that went out first, and the end was read after it (forced: `3 == 2` requests at the server).

Ruled out by tests that passed before, one for each other way of waiting: before a retry, during a dial, for a slot of the window, queued behind a request in work. In all of these the end is read at once.

At fault: frontend.py, `pause_writing` stops the reading and `resume_writing` served on before it had read.

--- a/orchidferry/frontend.py
+++ b/orchidferry/frontend.py
@@ -99,6 +99,7 @@
         self._owed: Owed | None = None  # the one that the node has
         self._refusal: Reply | None = None  # for what can't be read; nothing more is
         self._busy = self._closing = self._deaf = self._choked = self._ended = False
+        self._blind = False  # it was not read from for a while: its end may have come unseen
         self._reading = self._completed = self._asked = False
         self._start_message()
 
@@ -146,7 +147,7 @@
 
     def pause_writing(self) -> None:
         """The caller does not read: take nothing more from it, and give it so long."""
-        self._choked = True
+        self._choked = self._blind = True
         self._transport.pause_reading()
         self._settle()
 
@@ -298,6 +299,9 @@
         self._settle()
 
     def _serve_next(self) -> None:
+        if self._blind and self._queue and self._polled(select.POLLRDHUP):
+            self._deaf = True  # it has gone away; the end itself is read in its turn
+            self._queue.clear()
         while self._queue and not self._busy and not self._choked and not self._transport.is_closing():
             item = self._queue.popleft()
             if isinstance(item, Message):
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -116,6 +116,31 @@
     run(test())
 
 
+def test_what_waits_behind_a_caller_that_does_not_read_is_not_sent_once_that_has_left(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Nothing is read from it meanwhile, so its end was not seen, and its next request went out."""
+    monkeypatch.setitem(frontend.LIMITS_S, Stage.LEAVING, 1000.0)
+
+    async def test() -> None:
+        server = Server(usual=answer(200, b"x" * 65536))
+        async with world(tmp_path, server) as scene:
+            with socket.socket() as leaver:
+                caller = await slow_reader(scene, leaver)
+                leaver.settimeout(LIMIT_S)
+                leaver.sendall(b"".join(request(f"{n}") for n in range(8)))
+                await until(lambda: caller._choked)
+                leaver.sendall(b"".join(request(f"unread-{n}") for n in range(2)))
+                leaver.shutdown(socket.SHUT_WR)
+                sent = len(server.seen)
+                while await asyncio.to_thread(leaver.recv, 65536):
+                    pass
+                await until(lambda: callers(scene) == 0)
+                assert 1 <= sent < 8 and len(server.seen) == sent
+
+    run(test())
+
+
 def test_a_huge_body_is_refused_before_it_comes_and_the_refusal_can_be_read(tmp_path: Path) -> None:
     async def test() -> None:
         async with world(tmp_path, Server()) as scene:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -261,6 +261,20 @@
     assert refused >= 200
 
 
+def test_what_waits_for_room_is_not_sent_once_its_client_has_gone() -> None:
+    node = Node(servers=2, nodes=1)
+    node.serve(30)
+    for n in range(60):
+        node.ask(f"burst-{n}")
+    waiting = [id for id in node.balancer._calls if id not in node.sent]
+    assert waiting
+    for id in waiting:
+        node.do(api.ClientGone(id))
+    for id in [id for id in node.sent if id.startswith("burst")]:
+        node.end(id, api.Result.SERVED)
+    assert not node.sent.keys() & set(waiting)
+
+
 def test_deeper_tiers_do_not_hold_for_the_window() -> None:
     node = Node(servers=2, tier=1)
     node.serve(200)
