--- a/orchidferry/frontend.py
+++ b/orchidferry/frontend.py
@@ -11,6 +11,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import select
+import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -96,6 +99,7 @@
         self._owed: Owed | None = None  # the one that the node has
         self._refusal: Reply | None = None  # for what can't be read; nothing more is
         self._busy = self._closing = self._deaf = self._choked = self._ended = False
+        self._blind = False  # it was not read from for a while: its end may have come unseen
         self._reading = self._completed = self._asked = False
         self._start_message()
 
@@ -134,13 +138,16 @@
         self._settle()
 
     def eof_received(self) -> None:
-        # Closes, once what was written is out: a caller that ends its sending has gone away.
+        # Closes, once what was written is out: a caller that ends its sending has gone away, and though that
+        # may take its time nothing more is done for it.
         self._deaf = self._closing = self._ended = True
+        self._queue.clear()
+        self._let_go()
         self._settle()
 
     def pause_writing(self) -> None:
         """The caller does not read: take nothing more from it, and give it so long."""
-        self._choked = True
+        self._choked = self._blind = True
         self._transport.pause_reading()
         self._settle()
 
@@ -176,12 +183,18 @@
         self._frontend.moved(self, stage)
 
     def wind_up(self) -> None:
-        """Close after what is under way; at once if nothing is."""
+        """Close after what is under way, read by the loop or not yet; at once if nothing is."""
         self._closing = True
-        if not self._busy and not self._reading and not self._queue:
+        if not self._busy and not self._reading and not self._queue and not self._polled(select.POLLIN):
             self._transport.close()
             self._settle()
 
+    def _polled(self, events: int) -> bool:
+        """Ask the socket itself: the loop hears of it only once a turn."""
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket").fileno(), events)
+        return bool(poll.poll(0))
+
     def time_out(self) -> None:
         """Its stage has lasted too long."""
         if self.stage is Stage.LEAVING:
@@ -286,6 +299,9 @@
         self._settle()
 
     def _serve_next(self) -> None:
+        if self._blind and self._queue and self._polled(select.POLLRDHUP):
+            self._deaf = True  # it has gone away; the end itself is read in its turn
+            self._queue.clear()
         while self._queue and not self._busy and not self._choked and not self._transport.is_closing():
             item = self._queue.popleft()
             if isinstance(item, Message):
@@ -329,6 +345,7 @@
         self._ready, self._most = ready, most
         self._stages: dict[Stage, dict[Caller, float]] = {stage: {} for stage in Stage}
         self._server: asyncio.Server | None = None
+        self._socket: socket.socket
         self._loop: asyncio.AbstractEventLoop
         self._leaving = self._closing = False
         self._empty = asyncio.Event()
@@ -336,10 +353,12 @@
     async def listen(self, loop: asyncio.AbstractEventLoop, address: Address) -> Address:
         """Accept callers from now on; the address, with the port that port 0 stands for."""
         self._loop = loop
-        server = await loop.create_server(lambda: Caller(self), *address, backlog=BACKLOG)
-        self._server = server
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        self._socket = socket.create_server(address, family=family, backlog=BACKLOG)
+        self._socket.setblocking(False)
+        self._server = await loop.create_server(lambda: Caller(self), sock=self._socket, backlog=BACKLOG)
         self._sweep()
-        host, port = server.sockets[0].getsockname()[:2]
+        host, port = self._socket.getsockname()[:2]
         return host, port
 
     def count(self) -> int:
@@ -395,10 +414,22 @@
         """Be ready no more: whoever asks sends its callers elsewhere."""
         self._leaving = True
 
-    def close_listener(self) -> None:
-        """Take no new connections; go on with those there are."""
-        if self._server is not None:
-            self._server.close()
+    async def close_listener(self) -> None:
+        """Take no new connections; go on with those there are.
+
+        Those that the kernel has accepted and the loop has not are among them: with a request on it such a
+        connection is the node's, and closing the listener would reset it.
+        """
+        if self._server is None:
+            return
+        accepted = []
+        with contextlib.suppress(OSError):  # none is left
+            while True:
+                accepted.append(self._socket.accept()[0])
+        self._server.close()
+        for connection in accepted:
+            with contextlib.suppress(OSError):  # its caller has gone
+                await self._loop.connect_accepted_socket(lambda: Caller(self), connection)
 
     async def wind_up(self) -> None:
         """Close what is idle; wait until all that is owed has been answered."""
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -68,26 +68,79 @@
     run(test())
 
 
+async def slow_reader(scene: World, deaf: socket.socket) -> frontend.Caller:
+    """Connect a caller whose socket and the node's own for it hold very little."""
+    deaf.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    await asyncio.to_thread(deaf.connect, scene.address)
+    await until(lambda: callers(scene) == 1)
+    assert scene.node is not None
+    [caller] = scene.node.frontend._stages[Stage.NEW]
+    own = caller._transport.get_extra_info("socket")
+    own.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    return caller
+
+
 @pytest.mark.usefixtures("soon")
 def test_a_caller_that_does_not_read_is_ended_and_read_from_no_more(tmp_path: Path) -> None:
     """What it was sent stayed in memory, and closing it waited for it to read."""
 
     async def test() -> None:
         async with world(tmp_path, Server(usual=answer(200, b"x" * 65536))) as scene:
-            assert scene.node is not None
             with socket.socket() as deaf:
-                deaf.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-                await asyncio.to_thread(deaf.connect, scene.address)
-                await until(lambda: callers(scene) == 1)
-                [caller] = scene.node.frontend._stages[Stage.NEW]
-                own = caller._transport.get_extra_info("socket")
-                own.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+                await slow_reader(scene, deaf)
                 deaf.sendall(b"".join(request(f"{n}") for n in range(8)))
                 await until(lambda: callers(scene) == 0)
 
     run(test())
 
 
+def test_a_caller_that_leaves_with_an_answer_unread_leaves_the_request_after_it_too(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its connection closes only once all is written; till then its request was sent again and again."""
+    monkeypatch.setitem(frontend.LIMITS_S, Stage.LEAVING, 1000.0)
+
+    async def test() -> None:
+        server = Server(answer(200, b"x" * 40_000), usual=HANG)
+        async with world(tmp_path, server) as scene:
+            with socket.socket() as leaver:
+                await slow_reader(scene, leaver)
+                leaver.sendall(request("a") + request("b"))
+                await until(lambda: len(server.seen) == 2)
+                assert scene.node is not None and len(scene.node._live) == 1
+                leaver.shutdown(socket.SHUT_WR)
+                async with asyncio.timeout(5.0):  # its budget is 20 s
+                    await until(lambda: scene.node is not None and not scene.node._live)
+                assert callers(scene) == 1  # what was written has not been read yet
+
+    run(test())
+
+
+def test_what_waits_behind_a_caller_that_does_not_read_is_not_sent_once_that_has_left(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Nothing is read from it meanwhile, so its end was not seen, and its next request went out."""
+    monkeypatch.setitem(frontend.LIMITS_S, Stage.LEAVING, 1000.0)
+
+    async def test() -> None:
+        server = Server(usual=answer(200, b"x" * 65536))
+        async with world(tmp_path, server) as scene:
+            with socket.socket() as leaver:
+                caller = await slow_reader(scene, leaver)
+                leaver.settimeout(LIMIT_S)
+                leaver.sendall(b"".join(request(f"{n}") for n in range(8)))
+                await until(lambda: caller._choked)
+                leaver.sendall(b"".join(request(f"unread-{n}") for n in range(2)))
+                leaver.shutdown(socket.SHUT_WR)
+                sent = len(server.seen)
+                while await asyncio.to_thread(leaver.recv, 65536):
+                    pass
+                await until(lambda: callers(scene) == 0)
+                assert 1 <= sent < 8 and len(server.seen) == sent
+
+    run(test())
+
+
 def test_a_huge_body_is_refused_before_it_comes_and_the_refusal_can_be_read(tmp_path: Path) -> None:
     async def test() -> None:
         async with world(tmp_path, Server()) as scene:
@@ -145,6 +198,73 @@
     run(test())
 
 
+def test_the_time_to_end_follows_the_settings_not_the_budgets_seen(tmp_path: Path) -> None:
+    """After one request of 50 ms the node had 550 ms to end, and cut what came with more time."""
+
+    async def test() -> None:
+        server = Server()
+        async with world(tmp_path, server) as scene:
+            assert scene.node is not None
+            caller = await scene.caller()
+            assert (await caller.ask("short", budget="0.05")).status == 200
+            server.gate.clear()
+            stopping = asyncio.ensure_future(scene.node.stop())
+            await asyncio.sleep(0)
+            caller.write(request("long", budget="2.5"))
+            await until(lambda: len(server.seen) == 2)
+            await asyncio.sleep(1.0)  # the platform leaves it 3.7 s
+            server.gate.set()
+            assert (await caller.read()).status == 200
+            await asyncio.wait_for(stopping, LIMIT_S)
+
+    run(test())
+
+
+def test_a_connection_that_only_the_kernel_has_accepted_is_served_when_the_listener_closes(
+    tmp_path: Path,
+) -> None:
+    """It was reset: a request that the node's machine had taken was lost."""
+
+    async def test() -> None:
+        async with world(tmp_path, Server()) as scene:
+            assert scene.node is not None
+            await until(lambda: scene.node is not None and bool(scene.node._in_service))
+            with socket.create_connection(scene.address) as caller:  # the loop has no turn till the await
+                caller.settimeout(LIMIT_S)
+                caller.sendall(request("a"))
+                await scene.node.frontend.close_listener()
+                assert (await asyncio.to_thread(caller.recv, 1000)).startswith(b"HTTP/1.1 200")
+            with pytest.raises(ConnectionError):
+                await scene.caller()
+
+    run(test())
+
+
+@pytest.mark.parametrize("kept", [True, False], ids=["kept", "new"])
+def test_a_request_that_the_loop_has_not_read_is_answered_before_its_connection_is_closed(
+    kept: bool, tmp_path: Path
+) -> None:
+    """It was on a connection that the node had accepted, and closing that reset it."""
+
+    async def test() -> None:
+        async with world(tmp_path, Server()) as scene:
+            assert scene.node is not None
+            await until(lambda: scene.node is not None and bool(scene.node._in_service))
+            with socket.socket() as caller:
+                caller.settimeout(LIMIT_S)
+                await asyncio.to_thread(caller.connect, scene.address)
+                if kept:
+                    caller.sendall(request("a"))
+                    assert (await asyncio.to_thread(caller.recv, 1000)).startswith(b"HTTP/1.1 200")
+                await until(lambda: callers(scene) == 1)
+                caller.sendall(request("b"))  # the loop has no turn till the await
+                await scene.node.frontend.wind_up()
+                reply = await asyncio.to_thread(caller.recv, 1000)
+                assert reply.startswith(b"HTTP/1.1 200") and b"Connection: close" in reply
+
+    run(test())
+
+
 def test_what_is_taken_while_the_node_ends_is_answered_before_it_has_ended(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
