Turn away addresses no resolver takes and whole numbers no float holds, as bad configuration

Seen, by a run over every field of a configuration with odd values: a host with a null byte, a label of over 63 characters or letters outside ASCII was taken; at the start it ended in a traceback (`ValueError: embedded null`, `UnicodeError`) and status 1, on SIGHUP in place of the address in use. A whole number of 400 digits raised `OverflowError` past the line that names the field.

Ruled out: the lists of discovery, where the same number breaks one call and the next is made (tested).

At fault: config.py `address`, settings.py `get`.

--- a/nickelbridge/settings.py
+++ b/nickelbridge/settings.py
@@ -24,6 +24,7 @@
 }
 T = TypeVar("T")
 NUMBER = (int, float)
+MOST = 2**128  # of whole numbers: one that no float can hold stops the first sum with it
 
 
 class Malformed(Exception):
@@ -39,6 +40,8 @@
         raise Malformed(f"{key!r} must be {KINDS[kind]}, not {value!r:.60}")
     if isinstance(value, float) and not math.isfinite(value):
         raise Malformed(f"{key!r} must be a finite number, not {value!r}")
+    if isinstance(value, int) and abs(value) > MOST:
+        raise Malformed(f"{key!r} is too large: {value!r:.60}")
     return value
 
 
--- a/orchidferry/config.py
+++ b/orchidferry/config.py
@@ -16,6 +16,10 @@
 
 Address = tuple[str, int]
 
+# What the resolver takes: with anything else it raises no OSError, as for a host that can't be reached.
+HOST = re.compile(r"\[[0-9A-Fa-f:.]+\]|[A-Za-z0-9_-]{1,63}(\.[A-Za-z0-9_-]{1,63})*\.?")
+PORT = re.compile("[0-9]{1,5}")
+
 STATUSES = {
     "active": api.Health.IN_SERVICE,
     "leaving": api.Health.DRAINING,
@@ -66,7 +70,7 @@
 def address(text: str) -> Address:
     """Split host:port."""
     host, _, port = text.rpartition(":")
-    if not host or not port.isascii() or not port.isdigit() or not 0 <= int(port) < 65536:
+    if not HOST.fullmatch(host) or not PORT.fullmatch(port) or int(port) > 65535:
         raise Malformed(f"{text!r:.60} is no address of the form host:port")
     return host.strip("[]"), int(port)
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -140,6 +140,8 @@
     [CLOSE, answer(503), answer(200, b"{"), answer(200, b"[]"), answer(200, b'{"index":2}'), b"\x00\r\n\r\n",
      answer(200, b'{"index":2,"snapshot":true,"endpoints":[{"name":"s","address":"x","status":"active"}]}'),
      answer(200, b'{"index":2,"snapshot":true,"endpoints":[{"name":"s","status":"odd"}]}'),
+     answer(200, b'{"index":2,"snapshot":true,"endpoints":[{"name":"s","address":"127.0.0.1:1",'
+            b'"status":"active","since_ms":1' + b"0" * 400 + b"}]}"),
      answer(200, b"[" * 100_000)],
 )  # fmt: skip
 def test_a_failed_watch_is_asked_again_and_the_old_list_stays(spoilt: bytes, tmp_path: Path) -> None:
@@ -715,7 +717,12 @@
     [(None, "NODE_CONFIG"), ("", "No such file"), ("{", "not JSON"), ("[]", "object"),
      ("{}", "'name' is missing"),
      ('{"name":"n","listen":"nowhere"}', "nowhere"),
-     ('{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:1","seed":"zz"}', "seed")],
+     ('{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:1","seed":"zz"}', "seed"),
+     ('{"name":"n","listen":"127.0.0.1:\u00b2"}', "no address"),
+     ('{"name":"n","listen":"a\\u0000b:80"}', "no address"),
+     ('{"name":"n","listen":"127.0.0.1:1","discovery":"' + "a" * 64 + '.b:80"}', "no address"),
+     ('{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:1","seed":"1","limits":{"sockets":1'
+      + "0" * 400 + "}}", "too large")],
 )  # fmt: skip
 def test_a_bad_configuration_is_one_line_and_status_2(text: str | None, words: str, tmp_path: Path) -> None:
     async def test() -> None:
