Take a server that starts anew under its name for one of which nothing is known

Seen: a zone that was lost comes back with the same names and new start times. The copy kept what it knew of the old processes: a limit cut to 1 by failed dials, doubled time-outs, slowness from calls that were lost, and a cold budget that had filled up meanwhile, so that all copies may send to the cold process at once (a new name gets a random part of one call). Outcomes of calls to the old process went to the new one's account.

Ruled out: that the list replaces the entry; only a name that left the list and came back did.

At fault: logic.py `Fleet.apply`, which updated the entry in place, and `_on_ended`, which learnt from calls that it no longer counted.

Starts under 0.1 s apart count as one: the node reads Unix time anew.

--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -40,6 +40,7 @@
 BAD_RATIO, ERROR_FLOOR = 0.5, 0.01  # the share of errors to suspect; the least that peers are taken for
 QUOTA_MS = 1_000.0  # of its quota is what a tenant may send at once
 TIMEOUT_SHARE = 0.95  # of the time left, for an attempt that another may follow
+RESTART_MS = 100.0  # between two starts of a server at least; clocks that are read anew differ by less
 START = 4.0  # calls a server, at first
 RESERVE = 0.15  # of the window is kept for the class of most value
 SLICES = 4  # of the fleet, each cut evenly among all copies: few servers, so that a copy sees each often
@@ -138,6 +139,10 @@
         self.part = self.share  # of it that is this copy's to use
         self.in_service, self.started_ms = entry.health is Health.IN_SERVICE, entry.started_ms
 
+    def restarted(self, entry: api.ServerEntry) -> bool:
+        """Whether the entry tells of a later start than the one known."""
+        return entry.started_ms is not None and entry.started_ms > (self.started_ms or -math.inf) + RESTART_MS
+
     @property
     def inflight(self) -> int:
         return len(self.out)
@@ -229,9 +234,9 @@
         for entry in news.entries:
             if entry.health is Health.GONE:
                 self.servers.pop(entry.server, None)
-            elif entry.server in self.servers:
+            elif entry.server in self.servers and not self.servers[entry.server].restarted(entry):
                 self.servers[entry.server].update(entry)
-            else:
+            else:  # of a new process nothing is known, also where one of that name was
                 self.servers[entry.server] = Server(entry, now, self._rng)
         self.cut(SLICES)
 
@@ -490,14 +495,15 @@
         call, server = self._calls.get(event.id), self.fleet.servers.get(event.server)
         self.inflight -= 1
         if server is not None:
-            if event.report:
-                server.queue, server.report_ms = event.report.get("queue", 0.0), now
-            # None: sent before the server left the list and came back, as one of which nothing is known.
+            # None: sent before the server started anew, or left the list and came back: no news of it.
             sent = server.out.pop(event.id, None)
             server.used_ms = now
             if call is not None and call.idle_ms: self._judge_idle(call, event)
-            self._learn(server, event.result, now)
-            if sent is not None: self._measure(server, *sent, event, now)
+            if sent is not None:
+                if event.report:
+                    server.queue, server.report_ms = event.report.get("queue", 0.0), now
+                self._learn(server, event.result, now)
+                self._measure(server, *sent, event, now)
         if call is not None and event.settled:
             del self._calls[event.id]
             self.record.ended(call.cls.name, now - call.arrived_ms <= call.cls.aim_ms)
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -146,6 +146,31 @@
     assert 0 < picked.count(9) < 100 / 5
 
 
+def test_a_server_that_starts_anew_under_its_name_is_one_of_which_nothing_is_known() -> None:
+    """Its limit, its time out and its cold budget, full in every copy at once, were the old process's."""
+    node = Node(servers=2)
+    node.serve(200)
+    node.change(api.ServerEntry(1, "z", "k", 1, started_ms=node.now - 5000.0))
+    for n in range(40):  # it goes down: what is out there breaks, nothing connects
+        node.ask(f"down-{n}", "unsafe")
+        node.end(f"down-{n}", Result.UNREACHABLE if node.sent[f"down-{n}"][0] == 1 else Result.SERVED, 5.0)
+    old = node.balancer.fleet.servers[1]
+    assert old.limit < math.inf and old.shut_ms > node.now and old.budget.tokens >= 1.0
+    while "late" not in node.sent or node.sent["late"][-1] != 1:
+        old.shut_ms, node.sent["late"] = -math.inf, []
+        node.ask("late")
+        if node.sent["late"][-1] != 1:
+            node.end("late", Result.SERVED, 5.0)
+    node.change(api.ServerEntry(1, "z", "k", 1, started_ms=old.started_ms and old.started_ms + 50.0))
+    assert node.balancer.fleet.servers[1] is old  # the same start, read by another clock
+    node.change(api.ServerEntry(1, "z", "k", 1, started_ms=node.now))
+    new = node.balancer.fleet.servers[1]
+    assert (new.limit, new.shuts, new.slowness, new.inflight) == (math.inf, 0, 1.0, 0)
+    assert new.budget.tokens < 1.0
+    node.end("late", Result.RESET)  # of the old process: it tells nothing of the new
+    assert not new.suspicion and not new.slowness > 1.0
+
+
 def test_a_server_with_an_old_start_is_warm() -> None:
     node = Node(servers=0)
     node.list_all([api.ServerEntry(1), api.ServerEntry(2, started_ms=node.now - 9000.0)])
