Let a new copy send a call an aim to cold servers before it has answers to guess from

Seen: what a cold server bears is guessed from the copy's own answers. A process that has just started has none, and where all of its servers are cold (a release and a restart at once) it may send nothing, so it never gets any: 0 of 400 requests sent in half of the ramp (four cold servers, a request each 10 ms).

At fault: logic.py `_cold_budget`. The least is now the copy's part of one call in each longest aim: a server that can answer within the aim at all works off that much. Of that it still takes the stated multiple, its warmth and COLD_SHARE.

--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -275,6 +275,7 @@
     def __init__(self, settings: api.Settings, salt: int) -> None:
         self.settings = settings
         self.classes = {cls.name: cls for cls in settings.classes}
+        self._longest_aim_ms = max(cls.aim_ms for cls in settings.classes)
         self._rng = random.Random(salt)
         self.controller = DelayController()
         self.inflight, self._weight = 0, 0.0  # attempts out; weight of all ready servers
@@ -408,6 +409,9 @@
     def _cold_budget(self, server: Server, warmth: float, now: float) -> float:
         """This copy's part of a cold server's budget, in attempts; its capacity is guessed from its peers."""
         bearable = self.controller.answers.per_s() * server.part / max(self._weight, server.part) / 1000.0
+        # A new copy has no answers to guess from, and where all are cold it never got any. A server that can
+        # answer within the aim at all works off a call in each.
+        bearable = max(bearable, server.part / self._longest_aim_ms)
         per_ms = COLD_SHARE * self.settings.overload_factor * warmth * bearable
         return server.budget.refill(per_ms, max(1.0, per_ms * self.settings.overload_for_ms), now)
 
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -171,6 +171,21 @@
     assert not new.suspicion and not new.slowness > 1.0
 
 
+def test_a_new_copy_gets_on_where_all_servers_are_cold() -> None:
+    """It guessed what they bear from its answers, had none, and sent nothing until they were warm."""
+    node = Node(servers=0, tier=1)
+    start = node.now
+    node.list_all([api.ServerEntry(n, started_ms=start) for n in range(4)])
+    served = 0
+    for n in range(400):  # 4 s, half of the ramp
+        node.ask(f"{n}")
+        if f"{n}" in node.sent:
+            served += 1
+            node.end(f"{n}", Result.SERVED, 5.0)
+        node.now = start + 10.0 * n
+    assert 4 <= served <= 4 * 0.5 * 3.0 * 4 * 100  # of what the settings allow, were each to serve in no time
+
+
 def test_a_server_with_an_old_start_is_warm() -> None:
     node = Node(servers=0)
     node.list_all([api.ServerEntry(1), api.ServerEntry(2, started_ms=node.now - 9000.0)])
