Ask a caller's socket whether it has gone before each attempt for it

At fault: node.py `_send` and `may_send` asked only whether the end had been read; a reset reaches the protocol a turn after it was read, and an end that lies behind a server's answer in the poll is read after what that answer sets off. frontend.py's own check, for a caller that is not read from, is dead now and gone.

--- a/orchidferry/frontend.py
+++ b/orchidferry/frontend.py
@@ -71,7 +71,15 @@
     def caller_gone(self) -> None: ...
 
 
-Accept = Callable[[Message, Callable[[Reply], None]], Owed]
+class Asker(Protocol):
+    """What the node knows of whoever waits for a request's answer."""
+
+    def answer(self, reply: Reply) -> None: ...
+
+    def gone(self) -> bool: ...
+
+
+Accept = Callable[[Message, Asker], Owed]
 
 
 def render(reply: Reply, close: bool) -> bytes:
@@ -99,7 +107,6 @@
         self._owed: Owed | None = None  # the one that the node has
         self._refusal: Reply | None = None  # for what can't be read; nothing more is
         self._busy = self._closing = self._deaf = self._choked = self._ended = False
-        self._blind = False  # it was not read from for a while: its end may have come unseen
         self._reading = self._completed = self._asked = False
         self._start_message()
 
@@ -147,7 +154,7 @@
 
     def pause_writing(self) -> None:
         """The caller does not read: take nothing more from it, and give it so long."""
-        self._choked = self._blind = True
+        self._choked = True
         self._transport.pause_reading()
         self._settle()
 
@@ -299,9 +306,6 @@
         self._settle()
 
     def _serve_next(self) -> None:
-        if self._blind and self._queue and self._polled(select.POLLRDHUP):
-            self._deaf = True  # it has gone away; the end itself is read in its turn
-            self._queue.clear()
         while self._queue and not self._busy and not self._choked and not self._transport.is_closing():
             item = self._queue.popleft()
             if isinstance(item, Message):
@@ -312,7 +316,7 @@
     def _take(self, message: Message) -> None:
         self._busy = True
         try:
-            owed = self._frontend.accept(message, self._answer)
+            owed = self._frontend.accept(message, self)
         except Unacceptable as problem:
             self._busy = False
             return self._turn_away(Reply(400, str(problem).encode()))
@@ -320,7 +324,15 @@
         if self._busy:  # it may have been answered at once
             self._owed = owed
 
-    def _answer(self, reply: Reply) -> None:
+    def gone(self) -> bool:
+        """Whether it has closed, or ended its sending, by the socket itself.
+
+        Timers, and what else came in the same turn of the loop, may run before the end is read; after a turn
+        that took long, or where it is not read from, long after it came.
+        """
+        return self._ended or self._transport.is_closing() or self._polled(select.POLLRDHUP)
+
+    def answer(self, reply: Reply) -> None:
         """The node's answer to the request it has."""
         self._owed, self._busy = None, False
         if not self._transport.is_closing():
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -11,7 +11,6 @@
 import logging
 import math
 from collections import deque
-from collections.abc import Callable
 
 from nickelbridge import interface as api
 from nickelbridge.bucket import Bucket
@@ -19,7 +18,7 @@
 from nickelbridge.logic import Balancer
 from orchidferry.config import Address, Config, Listing, now_ms
 from orchidferry.discovery import Discovery
-from orchidferry.frontend import Frontend, Reply
+from orchidferry.frontend import Asker, Frontend, Reply
 from orchidferry.request import Message, Unacceptable
 from orchidferry.upstream import Answer, Attempt, Upstream
 
@@ -42,12 +41,10 @@
 class Live:
     """A request that is owed its answer, with its attempts."""
 
-    __slots__ = ("_node", "answer", "attempts", "backstop", "came_ms", "ends_ms", "id", "message", "story")
+    __slots__ = ("_node", "asker", "attempts", "backstop", "came_ms", "ends_ms", "id", "message", "story")
 
-    def __init__(
-        self, node: Node, id: str, message: Message, answer: Callable[[Reply], None], ends_ms: float
-    ) -> None:
-        self._node, self.id, self.message, self.answer = node, id, message, answer
+    def __init__(self, node: Node, id: str, message: Message, asker: Asker, ends_ms: float) -> None:
+        self._node, self.id, self.message, self.asker = node, id, message, asker
         self.came_ms, self.ends_ms = now_ms(), ends_ms
         self.attempts = 0  # begun so far
         self.story: list[str] = []  # how each of them ended, for the log
@@ -149,13 +146,13 @@
 
     # Requests
 
-    def accept(self, message: Message, answer: Callable[[Reply], None]) -> Live:
-        """Take a request; from now on it is owed exactly one call of `answer`."""
+    def accept(self, message: Message, asker: Asker) -> Live:
+        """Take a request; from now on its asker is owed exactly one answer."""
         if message.id in self._open_ids:
             raise Unacceptable("a request with this X-Call-Id is open")
         self._serial += 1
         now, id = now_ms(), str(self._serial)
-        live = Live(self, id, message, answer, min(now + message.budget_ms, self._stop_ms))
+        live = Live(self, id, message, asker, min(now + message.budget_ms, self._stop_ms))
         self._live[id] = live
         self._open_ids.add(message.id)
         self._watch(live)
@@ -190,7 +187,7 @@
         if live is not None and self._drop(live):
             if reply.status != 200:
                 self._trace(live, f"answered {reply.status}")
-            live.answer(reply)
+            live.asker.answer(reply)
 
     def _trace(self, live: Live, end: str) -> None:
         """Log a request that ended badly, from its arrival on, with every attempt."""
@@ -210,7 +207,7 @@
         elif self._drop(live):
             log.warning("request %s was not ended by its deadline", live.message.id)
             self._trace(live, "answered 504")
-            live.answer(Reply(504, b"no answer in time"))
+            live.asker.answer(Reply(504, b"no answer in time"))
             self._handle(api.ClientGone(live.id))
 
     # The module
@@ -258,6 +255,9 @@
 
     def _send(self, action: api.Send) -> None:
         live, server, sent_ms = self._live.get(action.id), action.server, now_ms()
+        if live is not None and live.asker.gone():
+            self.caller_gone(live)
+            live = None
         if live is None or server not in self._in_service:
             number = live.attempts if live is not None else 0
             return self._handle(api.AttemptEnded(action.id, number, server, Result.MOOT, 0.0, live is None))
@@ -267,6 +267,8 @@
         timeout_ms = max(0.0, min(action.timeout_ms, live.ends_ms - MARGIN_MS - sent_ms))
 
         def may_send() -> bool:
+            if live.asker.gone():
+                self.caller_gone(live)
             return action.id in self._live and server in self._in_service
 
         def ended(result: Result, answer: Answer | None) -> None:
