Let three calls to discovery fail in a row, in any way, before news counts as told

The worst sum of waits was written for two silent watches: 2 x (2.0 + 0.75) + 0.5 s = 6.0 s, with nothing to spare where lists are asked for; a third failure made it 8.75 s.

At fault: discovery.py WATCH_MS and GRACE_MS, logic.py ASK_MOST_MS. Now watches last 0.8 s and pauses 0.45 s at most: 3 x (1.3 + 0.45) + 0.5 = 5.75 s.

--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -53,7 +53,9 @@
 HASTE_SHARE = 1.25  # of the aim by which that one's answer is usual; later it is worth little
 LOST = 4.0  # times its usual delay: a call out for so long that later ones overtook takes no room any more
 COLD_SHARE = 0.5  # of the stated cold budget that all copies together use
-ASK_SHARE, ASK_MOST_MS = 0.1, 500.0  # of the asking interval: mean wait before asking again after a failure
+ASK_SHARE, ASK_MOST_MS = 0.1, 300.0  # of the asking interval: mean wait before asking again after a failure,
+ASK_JITTER = 0.5  # and by what share of it a wait is shorter or longer
+ASK_LONGEST_MS = (1.0 + ASK_JITTER) * ASK_MOST_MS  # orchidferry/discovery.py counts on it
 
 NEVER_RAN = frozenset((Result.REFUSED, Result.UNREACHABLE, Result.MOOT))
 
@@ -593,6 +595,7 @@
         if event.kind is ListKind.FAILED:  # ask again, not in step with the others
             # What a silent subscription leaves unsaid counts as told after 6 s, however seldom one may ask.
             wait = min(ASK_SHARE * self.settings.ask_every_ms, ASK_MOST_MS)
-            return self._actions.append(api.SetTimer(0, wait * (0.5 + self._rng.random())))
+            wait *= self._rng.uniform(1.0 - ASK_JITTER, 1.0 + ASK_JITTER)
+            return self._actions.append(api.SetTimer(0, wait))
         self.fleet.apply(event, now)
         self._release(now)
--- a/orchidferry/discovery.py
+++ b/orchidferry/discovery.py
@@ -15,20 +15,31 @@
 from nickelbridge.settings import Malformed
 from orchidferry.config import Address, Listing, read_listing
 
-# How long discovery may keep a watch open, and what it gets beyond that. Its silence shows only then, and
-# what it leaves unsaid counts as told 6 s after it began: two watches in a row may fall silent, with the
-# pauses before the next call (0.75 s at most) and the dials, and a third still brings the news in time. In
-# incident r32b5e5, at 20 s, all nodes sent through a whole release by the list they had started with. A
-# watch that goes on is no new call, so short ones cost discovery next to nothing.
-WATCH_MS = 1_500
+# How long discovery may keep a watch open, and what it gets beyond that. Its silence shows only then. In
+# incident r32b5e5, at 20 s, all nodes sent through a whole release by the list they had started with. A watch
+# that goes on is no new call, so short ones cost discovery next to nothing.
+WATCH_MS = 800
 GRACE_MS = 500
 # For a call that need not wait for news: the agent answers such at once. What it says counts as told 4 s
 # after SIGHUP, so a call that stays silent must leave time for another.
 CALL_MS = 1_000
 CONNECT_S = 0.5  # for a connection to come up; a cut link would use up the whole of a watch's time
+# Whatever becomes of calls, news counts as told 6 s after discovery had it and could be reached. So many in a
+# row may fail then, each in the way that takes longest.
+FAILURES_BORNE = 3
 MAX_LIST = 8 * 1024 * 1024
 
 
+def longest_news_ms(pause_ms: float) -> float:
+    """How long news may take to come if `FAILURES_BORNE` calls fail before the one that brings it, in ms.
+
+    `pause_ms` is the longest wait between a failure and the next call. A call's limit holds its dial too;
+    the last one is answered as soon as it is up.
+    """
+    call_ms = max(WATCH_MS + GRACE_MS, CALL_MS)
+    return FAILURES_BORNE * (call_ms + pause_ms) + CONNECT_S * 1000.0
+
+
 class _Channel(asyncio.Protocol):
     """A connection to discovery; whole answers or their failure go to its owner."""
 
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -134,7 +134,7 @@
         assert timer.delay_ms < node.balancer.settings.ask_every_ms / 4
         seldom = Node(salt=salt, follow_list=True, ask_every_ms=60_000.0)
         [timer] = timers(seldom.do(api.ServerList(api.ListKind.FAILED)))
-        assert timer.delay_ms <= 750.0  # two such waits have to fit into the 6 s that silence may last
+        assert timer.delay_ms <= logic.ASK_LONGEST_MS  # the sum of waits counts on it
     assert len(delays) == 5
 
 
