--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -6,6 +6,7 @@
 import json
 import logging
 import os
+import resource
 import signal
 import socket
 import sys
@@ -661,8 +662,8 @@
         self.process, self.scene = process, scene
 
     @classmethod
-    async def start(cls, scene: World) -> Program:
-        program = cls(await spawn(scene.path), scene)
+    async def start(cls, scene: World, descriptors: int | None = None) -> Program:
+        program = cls(await spawn(scene.path, descriptors), scene)
         assert program.process.stderr is not None
         while True:
             line = await asyncio.wait_for(program.process.stderr.readline(), LIMIT_S)
@@ -682,10 +683,16 @@
                 await asyncio.sleep(0.02)
 
 
-async def spawn(path: Path | None) -> asyncio.subprocess.Process:
+async def spawn(path: Path | None, descriptors: int | None = None) -> asyncio.subprocess.Process:
+    """Start the program, under a limit of so many file descriptors if one is given."""
+
+    def limit() -> None:
+        if descriptors is not None:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
+
     env = {name: value for name, value in os.environ.items() if name != "NODE_CONFIG"}
     return await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "orchidferry", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+        sys.executable, "-m", "orchidferry", cwd=ROOT, stderr=asyncio.subprocess.PIPE, preexec_fn=limit,
         env=env | ({"NODE_CONFIG": str(path)} if path else {}),
     )  # fmt: skip
 
