Don't give an attempt up with its answer unread, nor before its retry could go out

The usual delay is 0.5 ms, so a first attempt was given up after 2: one turn of the loop outlasts that, and timers run before what came meanwhile is read. The retry then waited its back-off (50 ms here), counted from the send.

Ruled out: the server (it saw each first copy and answered it), connections (kept ones, none lost).

At fault: upstream.py, the time-out looked at no socket; logic.py `_send`, four times a usual delay without a least. Now an attempt whose answer waits unread gets one more turn of the loop, and none is given up before its back-off is over: its retry could not go out sooner. Tests: the answer written and the loop kept busy past the time-out (TIMEOUT without the mend); time-outs after answers of 0.1 ms (0.4 ms without).

--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -451,7 +451,9 @@
         in_time = (HASTE + 1.0) * self._share <= HASTE_SHARE / (1 + self.settings.tier)
         soon = call.attempts == 1 and not once and in_time
         patience = HASTE if soon else PATIENCE
-        most = patience * self._share * cls.aim_ms if self._seen >= SAMPLES else left
+        # The retry waits its back-off from this send in any case: given up sooner, an attempt is only lost.
+        usual = max(patience * self._share * cls.aim_ms, self._back_off(call))
+        most = usual if self._seen >= SAMPLES else left
         self._actions.append(api.Send(call.id, server.id, min(most, wait), once))
         return True
 
--- a/orchidferry/upstream.py
+++ b/orchidferry/upstream.py
@@ -29,6 +29,7 @@
 # A second answer may come some milliseconds after the first (join+brink: 0.8 to 3.6 ms). Nothing in it tells
 # which request it answers, so a connection rests for so long before the next one goes out on it.
 REST_MS = 10.0
+TURN_S = 0.001  # a timer's least, after which the loop has read what had come before
 SWEEP_S = 1.0  # how often connections that have idled too long are looked for
 
 log = logging.getLogger("orchidferry")
@@ -50,15 +51,20 @@
 class Attempt:
     """One copy of a request on its way to one server; reports its outcome exactly once."""
 
-    __slots__ = ("_cancel_io", "_ended", "_timer", "may_send", "message", "over", "written")
+    __slots__ = (
+        "_cancel_io", "_ended", "_timer", "may_send", "message", "over", "overtime", "unread", "written",
+    )  # fmt: skip
 
     def __init__(self, message: bytes, may_send: Callable[[], bool], ended: Ended) -> None:
         self.message, self.may_send, self._ended = message, may_send, ended
         self.written = self.over = False
+        self.overtime = False  # its time was up with an answer unread
         self._timer: asyncio.TimerHandle | None = None
         self._cancel_io: Callable[[], object] | None = None
+        # Whether something of an answer waits to be read; nothing does while there is no connection.
+        self.unread: Callable[[], bool] = lambda: False
 
-    def give_up_after(self, timer: asyncio.TimerHandle) -> None:
+    def set_timer(self, timer: asyncio.TimerHandle) -> None:
         self._timer = timer
 
     def carried_by(self, cancel_io: Callable[[], object]) -> None:
@@ -183,15 +189,23 @@
         """
         if self._lost or self._transport.is_closing():
             return False
+        return not self._readable()
+
+    def unread(self) -> bool:
+        """Whether bytes, or the end, have come that the loop has not read."""
+        return not self._lost and not self._transport.is_closing() and self._readable()
+
+    def _readable(self) -> bool:
         poll = select.poll()
         poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return bool(poll.poll(0))
 
     def carry(self, attempt: Attempt) -> None:
         """Write an attempt's request and wait for its answer."""
         self._attempt = attempt
         self._start_answer()
         attempt.carried_by(self.close)
+        attempt.unread = self.unread
         self._transport.write(attempt.message)
         if self._transport.is_closing():  # the write itself failed
             self._end(Result.UNREACHABLE, reuse=False)
@@ -298,7 +312,7 @@
     ) -> Attempt:
         """Start an attempt, on a new connection if `fresh`; `ended` may be called before this returns."""
         attempt = Attempt(message, may_send, ended)
-        attempt.give_up_after(self._loop.call_later(max(0.0, timeout_ms) / 1000.0, attempt.timed_out))
+        self._set_timeout(max(0.0, timeout_ms) / 1000.0, attempt)
         idle = self._idle.get(server, [])
         if fresh and idle:
             idle[0].close()  # the new one takes its place, or they would add up
@@ -316,6 +330,21 @@
         attempt.carried_by(dial.cancel)
         return attempt
 
+    def _set_timeout(self, wait_s: float, attempt: Attempt) -> None:
+        attempt.set_timer(self._loop.call_later(wait_s, self._on_timeout, attempt))
+
+    def _on_timeout(self, attempt: Attempt) -> None:
+        """Give an attempt up, unless its answer came in time and only the loop is late in reading it.
+
+        Timers may run before what came meanwhile is read: after a turn longer than the time-out, all that was
+        answered in it would count as lost, and be sent again.
+        """
+        if not attempt.overtime and attempt.unread():
+            attempt.overtime = True
+            self._set_timeout(TURN_S, attempt)
+        else:
+            attempt.timed_out()
+
     def _take_idle(self, server: int, address: Address) -> Connection | None:
         """The most recently used that has rested, so that the others can grow old and go."""
         now, idle = now_ms(), self._idle.get(server, [])
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -489,6 +489,18 @@
     assert other.timeout_ms < 100.0
 
 
+def test_an_attempt_is_not_given_up_before_its_retry_could_go_out() -> None:
+    """Four times 0.1 ms is less than a loop's own jitter, and the retry waited its back-off all the same."""
+    node = Node()
+    node.serve(40, delay_ms=0.1)
+    back_off_ms = min(logic.RETRY_WAIT_MS, logic.RETRY_WAIT_SHARE * 1000.0)
+    [first] = sends(node.ask("a"))
+    assert first.timeout_ms == pytest.approx(back_off_ms)
+    [timer] = timers(node.end("a", Result.TIMEOUT, first.timeout_ms))
+    [second] = sends(node.do(api.TimerFired(timer.token), timer.delay_ms))
+    assert second.timeout_ms == pytest.approx(2.0 * back_off_ms)
+
+
 def test_a_time_out_has_waited_for_its_retry_already() -> None:
     """silent+leave+brisk: what a dead connection swallowed was sent again only after its aim."""
     node = Node(servers=4)
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -215,6 +215,40 @@
     run(test())
 
 
+def test_an_answer_that_came_in_time_counts_though_the_loop_reads_it_late() -> None:
+    """One turn of the loop outlasts the time-out; the timer runs before the answer is read."""
+    timeout_s = 1.5
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            listener.settimeout(LIMIT_S)
+            attempts = Attempts(f"127.0.0.1:{listener.getsockname()[1]}")
+            ended = loop.create_future()
+            sent_s = time.monotonic()
+            attempts.upstream.send(
+                1, attempts.address, request("a"), timeout_s * 1000.0, lambda: True,
+                lambda result, _: ended.set_result(result),
+            )  # fmt: skip
+            connection, _ = await asyncio.to_thread(listener.accept)
+            connection.settimeout(LIMIT_S)
+            assert await asyncio.to_thread(connection.recv, 65536)
+            inner, outer = socket.socketpair()
+
+            def busy() -> None:
+                loop.remove_reader(inner)
+                connection.sendall(answer())
+                time.sleep(max(0.0, sent_s + timeout_s + 0.2 - time.monotonic()))
+
+            loop.add_reader(inner, busy)
+            outer.send(b"x")
+            assert await asyncio.wait_for(ended, LIMIT_S) is Result.SERVED
+            for peer in (connection, inner, outer):
+                peer.close()
+
+    run(test())
+
+
 def test_a_write_that_fails_never_ran(monkeypatch: pytest.MonkeyPatch) -> None:
     """The last byte did not go out, so the attempt may be made again, of whatever class."""
     monkeypatch.setattr(Connection, "usable", lambda self: not self._lost)
