Hold a cold server's budget to the weight that carried the answers it is guessed from

Cause: `_cold_budget` guesses what a server bears from the answer rate of the last 5 s, over the weight of the servers now. When all turn cold the weight falls to a fifth at once and the rate does not. Next to it: a copy that took more of the fleet under load found full buckets at the servers it had not used.

Now the weight is the mean over the rate's own time, by part, so that taking more of the fleet changes nothing; what servers bore is kept over the ramp, as a lull takes nothing from it; a bucket starts when its server becomes the copy's.

--- a/nickelbridge/averages.py
+++ b/nickelbridge/averages.py
@@ -33,6 +33,25 @@
         return self.events / max(1.0, self.span_s)
 
 
+class Mean:
+    """A value's mean over time, forgotten with a time constant, as `Rate` forgets."""
+
+    __slots__ = ("_last", "_seen_ms", "_window_ms", "value")
+
+    def __init__(self, window_ms: float) -> None:
+        self._window_ms, self._seen_ms = window_ms, -math.inf
+        self._last = self.value = 0.0
+
+    def note(self, value: float, now: float) -> None:
+        """Take the value as it is from now on."""
+        if self._seen_ms == -math.inf:
+            self.value = value
+        else:
+            kept = math.exp(min(0.0, self._seen_ms - now) / self._window_ms)
+            self.value = self.value * kept + self._last * (1.0 - kept)
+        self._last, self._seen_ms = value, now
+
+
 class SlidingCount:
     """Events within the last so many milliseconds, counted exactly, both ends included."""
 
--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -12,7 +12,7 @@
 
 from nickelbridge import interface as api
 from nickelbridge import subset
-from nickelbridge.averages import ClassRecord, Rate, SlidingCount
+from nickelbridge.averages import ClassRecord, Mean, Rate, SlidingCount
 from nickelbridge.bucket import Bucket
 from nickelbridge.interface import Group, Health, ListKind, Repeat, Result
 
@@ -228,6 +228,7 @@
         self.servers: dict[int, Server] = {}
         self.ready: list[Server] = []  # those in service that are this copy's to use
         self.slices, self.slice = SLICES, 0.0  # how many it has, and how many servers one is worth
+        self.parts = 0.0  # the sum of what is its to use of them
 
     def apply(self, news: api.ServerList, now: float) -> None:
         """Take changes, or a whole list that replaces the old one."""
@@ -240,19 +241,24 @@
                 self.servers[entry.server].update(entry)
             else:  # of a new process nothing is known, also where one of that name was
                 self.servers[entry.server] = Server(entry, now, self._rng)
-        self.cut(SLICES)
+        self.cut(SLICES, now)
 
     def group(self, call: Call) -> list[Server]:  # all that a keyed call which may have run can still go to
         return [s for s in self.servers.values() if s.in_service and s.group(call.cls.group) == call.pin]
 
-    def cut(self, slices: int) -> None:
+    def cut(self, slices: int, now: float) -> None:
         """Use so many slices: many copies going round all servers need more connections than they accept."""
         shares = {server.id: server.share for server in self.servers.values() if server.in_service}
         self.slices, self.slice = slices, len(shares) / self._nodes
         parts = subset.parts(shares, self._number, self._nodes, slices)
+        before = set(self.ready)
         self.ready = [self.servers[id] for id, part in parts.items() if part]
+        for server in self.ready:  # saved up nothing while it was not this copy's
+            if server not in before:
+                server.budget = Bucket(min(server.budget.tokens, self._rng.random()), now)
         for server in self.ready:
             server.part = parts[server.id]
+        self.parts = sum(parts.values())
 
 
 class Call:
@@ -280,7 +286,10 @@
         self._longest_aim_ms = max(cls.aim_ms for cls in settings.classes)
         self._rng = random.Random(salt)
         self.controller = DelayController()
-        self.inflight, self._weight = 0, 0.0  # attempts out; weight of all ready servers
+        self.inflight = 0  # attempts out
+        # Of the ready servers, what is warm, in the mean over the time that the answer rate is of; and the
+        # calls a ms that a warm one answered, over the time in which one warms up.
+        self._warm, self._bears = Mean(WINDOW_MS), Mean(max(WINDOW_MS, settings.ramp_time_ms))
         self._errors = self._share = self._seen = 0.0  # recent errors; mean delay over its aim, of how many
         self._held: dict[tuple[str, bool], deque[Call]] = {}  # first sends that wait for the window
         self.record = ClassRecord(settings.classes, PEER_SAMPLES)
@@ -389,16 +398,12 @@
         ready: list[tuple[Server, float]] = []
         total = 0.0
         for server in self.fleet.ready if call.ran_ms is None else self.fleet.group(call):
-            weight = server.part
-            if server.started_ms is not None:
-                warmth = server.warmth(now, self.settings)
-                if warmth < 1.0 and self._cold_budget(server, warmth, now) < 1.0:
-                    continue
-                weight *= warmth
-            weight *= server.pace(now, self._share)
+            warmth = server.warmth(now, self.settings)
+            weight = server.part * warmth * server.pace(now, self._share)
+            if warmth < 1.0 and self._cold_budget(server, warmth, now) < 1.0: continue
             total += weight
             if server.inflight < server.limit: ready.append((server, weight))
-        self._weight = total if call.ran_ms is None else self._weight
+        if call.ran_ms is None and self.fleet.parts: self._warm.note(total / self.fleet.parts, now)
         found = [(server, weight) for server, weight in ready if now >= server.shut_ms] or ready
         if call.last is not None and len(found) > 1:  # elsewhere than last time, where there is a choice
             found = [(server, weight) for server, weight in found if server is not call.last]
@@ -409,8 +414,15 @@
         return [pair for pair, holds in zip(found, held, strict=True) if holds <= least]
 
     def _cold_budget(self, server: Server, warmth: float, now: float) -> float:
-        """This copy's part of a cold server's budget, in attempts; its capacity is guessed from its peers."""
-        bearable = self.controller.answers.per_s() * server.part / max(self._weight, server.part) / 1000.0
+        """This copy's part of a cold server's budget, in attempts; its capacity is guessed from its peers.
+
+        From what they answered, over the weight they had meanwhile: over the weight they have now, servers
+        that all start anew at once looked five times as able as they were.
+        """
+        warm = max(self._warm.value * self.fleet.parts, server.part)
+        answered = self.controller.answers.per_s() / warm / 1000.0
+        self._bears.note(answered, now)
+        bearable = max(answered, self._bears.value) * server.part  # a lull takes nothing from what they can
         # A new copy has no answers to guess from, and where all are cold it never got any. A server that can
         # answer within the aim at all works off a call in each.
         bearable = max(bearable, server.part / self._longest_aim_ms)
@@ -435,7 +447,7 @@
         call.out, call.last, call.sent_ms = True, server, now
         self.inflight += 1
         if self.inflight > HOT * len(self.fleet.ready) and self.fleet.slices < self.settings.nodes:
-            self.fleet.cut(2 * self.fleet.slices)  # a hot caller needs more of the fleet
+            self.fleet.cut(2 * self.fleet.slices, now)  # a hot caller needs more of the fleet
         call.idle_ms = 0.0 if server.out else now - server.used_ms
         if call.idle_ms > self._idle_ms:  # Rosario fresh-big: what is sent on a dropped connection is lost
             self._actions.append(api.CloseIdle(server.id))
