--- a/orchidferry/frontend.py
+++ b/orchidferry/frontend.py
@@ -189,7 +189,7 @@
             stage = Stage.READING if self._reading else Stage.IDLE
         self._frontend.moved(self, stage)
 
-    def wind_up(self) -> None:
+    def drain(self) -> None:
         """Close after what is under way, read by the loop or not yet; at once if nothing is."""
         self._closing = True
         if not self._busy and not self._reading and not self._queue and not self._polled(select.POLLIN):
@@ -396,7 +396,7 @@
         caller.stage = Stage.NEW
         self._stages[Stage.NEW][caller] = self._loop.time()
         if self._closing:
-            caller.wind_up()
+            caller.drain()
         elif self.count() > self._most:
             others = (c for stage in EXPENDABLE for c in self._stages[stage] if c is not caller)
             next(others, caller).abort()
@@ -429,7 +429,7 @@
             for caller in late:
                 caller.time_out()
 
-    def leave(self) -> None:
+    def fail_ready_checks(self) -> None:
         """Be ready no more: whoever asks sends its callers elsewhere."""
         self._leaving = True
 
@@ -450,12 +450,12 @@
             with contextlib.suppress(OSError):  # its caller has gone
                 await self._loop.connect_accepted_socket(lambda: Caller(self), connection)
 
-    async def wind_up(self) -> None:
+    async def drain(self) -> None:
         """Close what is idle; wait until all that is owed has been answered."""
         self._closing = True
         for stage in Stage:
             for caller in list(self._stages[stage]):
-                caller.wind_up()
+                caller.drain()
         await self.empty()
 
     async def empty(self) -> None:
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -1,7 +1,7 @@
 """The node: turns what happens on sockets into the module's events and does what it answers.
 
 Only this file calls `Balancer.handle`, one event at a time: an event that an action raises is queued.
-Every request taken is answered exactly once, at the latest by a backstop at its deadline.
+Every request taken is answered exactly once, at the latest by a timer at its deadline.
 """
 
 from __future__ import annotations
@@ -41,14 +41,16 @@
 class Live:
     """A request that is owed its answer, with its attempts."""
 
-    __slots__ = ("_node", "asker", "attempts", "backstop", "came_ms", "ends_ms", "id", "message", "story")
+    __slots__ = (
+        "_node", "asker", "attempts", "came_ms", "deadline_ms", "deadline_timer", "id", "message", "story",
+    )  # fmt: skip
 
-    def __init__(self, node: Node, id: str, message: Message, asker: Asker, ends_ms: float) -> None:
+    def __init__(self, node: Node, id: str, message: Message, asker: Asker, deadline_ms: float) -> None:
         self._node, self.id, self.message, self.asker = node, id, message, asker
-        self.came_ms, self.ends_ms = now_ms(), ends_ms
+        self.came_ms, self.deadline_ms = now_ms(), deadline_ms
         self.attempts = 0  # begun so far
         self.story: list[str] = []  # how each of them ended, for the log
-        self.backstop: asyncio.TimerHandle | None = None
+        self.deadline_timer: asyncio.TimerHandle | None = None
 
     def caller_gone(self) -> None:
         self._node.caller_gone(self)
@@ -121,10 +123,10 @@
         grace_ms = KILL_MS - STOP_MARGIN_MS + self._longest_ms
         asked_ms, self._stop_ms = now_ms(), now_ms() + grace_ms
         for live in self._live.values():  # that kill comes first
-            if live.ends_ms > self._stop_ms:
-                live.ends_ms = self._stop_ms
-                self._watch(live)
-        self.frontend.leave()
+            if live.deadline_ms > self._stop_ms:
+                live.deadline_ms = self._stop_ms
+                self._set_deadline_timer(live)
+        self.frontend.fail_ready_checks()
         await asyncio.sleep(accept_s)
         # The listener stays open as long as connections are served: whoever is refused a new one takes the
         # node for dead and leaves its open ones too, and where it is the only node has nowhere to go.
@@ -136,7 +138,7 @@
         await self.frontend.close_listener()
         try:
             async with asyncio.timeout((self._stop_ms + STOP_MARGIN_MS / 2.0 - now_ms()) / 1000.0):
-                await self.frontend.wind_up()
+                await self.frontend.drain()
         except TimeoutError:
             self.frontend.abort()  # all is answered by now; what is left does not read
         self._discovery.close()
@@ -155,17 +157,17 @@
         live = Live(self, id, message, asker, min(now + message.budget_ms, self._stop_ms))
         self._live[id] = live
         self._open_ids.add(message.id)
-        self._watch(live)
-        ttl_ms = max(0.0, live.ends_ms - now - MARGIN_MS)
+        self._set_deadline_timer(live)
+        ttl_ms = max(0.0, live.deadline_ms - now - MARGIN_MS)
         self._handle(api.Request(id, message.cls, ttl_ms, message.tenant, message.again))
         return live
 
-    def _watch(self, live: Live) -> None:
-        """Set the backstop to the request's end, as it is now."""
-        if live.backstop is not None:
-            live.backstop.cancel()
-        left_s = max(0.0, live.ends_ms - now_ms()) / 1000.0
-        live.backstop = self._loop.call_later(left_s, self._overdue, live)
+    def _set_deadline_timer(self, live: Live) -> None:
+        """Set the timer that fails the request to its deadline, as it is now."""
+        if live.deadline_timer is not None:
+            live.deadline_timer.cancel()
+        left_s = max(0.0, live.deadline_ms - now_ms()) / 1000.0
+        live.deadline_timer = self._loop.call_later(left_s, self._overdue, live)
 
     def caller_gone(self, live: Live) -> None:
         """Nobody waits any more."""
@@ -178,8 +180,8 @@
         if self._live.pop(live.id, None) is None:
             return False
         self._open_ids.discard(live.message.id)
-        if live.backstop is not None:
-            live.backstop.cancel()
+        if live.deadline_timer is not None:
+            live.deadline_timer.cancel()
         return True
 
     def _finish(self, id: str, reply: Reply) -> None:
@@ -201,9 +203,9 @@
 
     def _overdue(self, live: Live) -> None:
         """Fail a request that the module has not ended by its deadline, whatever the reason."""
-        left_ms = live.ends_ms - now_ms()
+        left_ms = live.deadline_ms - now_ms()
         if left_ms > 0.0:  # the loop's clock may run ahead: failing early would be a broken promise
-            live.backstop = self._loop.call_later(left_ms / 1000.0 + 0.001, self._overdue, live)
+            live.deadline_timer = self._loop.call_later(left_ms / 1000.0 + 0.001, self._overdue, live)
         elif self._drop(live):
             log.warning("request %s was not ended by its deadline", live.message.id)
             self._trace(live, "answered 504")
@@ -224,7 +226,7 @@
                 try:
                     for action in self._balancer.handle(event, now_ms()):
                         self._do(action)
-                except Exception:  # a request that this leaves open is failed by its backstop
+                except Exception:  # a request that this leaves open is failed at its deadline
                     log.exception("handling %s", type(event).__name__)
         finally:
             self._handling = False
@@ -264,7 +266,7 @@
         number = live.attempts
         live.attempts += 1
         # Cut to what is left: an outcome must come before the answer is due.
-        timeout_ms = max(0.0, min(action.timeout_ms, live.ends_ms - MARGIN_MS - sent_ms))
+        timeout_ms = max(0.0, min(action.timeout_ms, live.deadline_ms - MARGIN_MS - sent_ms))
 
         def may_send() -> bool:
             if live.asker.gone():
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -306,7 +306,7 @@
                     assert (await asyncio.to_thread(caller.recv, 1000)).startswith(b"HTTP/1.1 200")
                 await until(lambda: callers(scene) == 1)
                 caller.sendall(request("b"))  # the loop has no turn till the await
-                await scene.node.frontend.wind_up()
+                await scene.node.frontend.drain()
                 reply = await asyncio.to_thread(caller.recv, 1000)
                 assert reply.startswith(b"HTTP/1.1 200") and b"Connection: close" in reply
 
