--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -134,7 +134,7 @@
         assert timer.delay_ms < node.balancer.settings.ask_every_ms / 4
         seldom = Node(salt=salt, follow_list=True, ask_every_ms=60_000.0)
         [timer] = timers(seldom.do(api.ServerList(api.ListKind.FAILED)))
-        assert timer.delay_ms <= 750.0  # two such waits have to fit into the 6 s that silence may last
+        assert timer.delay_ms <= logic.ASK_LONGEST_MS  # the sum of waits counts on it
     assert len(delays) == 5
 
 
@@ -489,6 +489,18 @@
     assert other.timeout_ms < 100.0
 
 
+def test_an_attempt_is_not_given_up_before_its_retry_could_go_out() -> None:
+    """Four times 0.1 ms is less than a loop's own jitter, and the retry waited its back-off all the same."""
+    node = Node()
+    node.serve(40, delay_ms=0.1)
+    back_off_ms = min(logic.RETRY_WAIT_MS, logic.RETRY_WAIT_SHARE * 1000.0)
+    [first] = sends(node.ask("a"))
+    assert first.timeout_ms == pytest.approx(back_off_ms)
+    [timer] = timers(node.end("a", Result.TIMEOUT, first.timeout_ms))
+    [second] = sends(node.do(api.TimerFired(timer.token), timer.delay_ms))
+    assert second.timeout_ms == pytest.approx(2.0 * back_off_ms)
+
+
 def test_a_time_out_has_waited_for_its_retry_already() -> None:
     """silent+leave+brisk: what a dead connection swallowed was sent again only after its aim."""
     node = Node(servers=4)
