Kill the program when a test of it ends, also when it fails

Eight programs of tests that had failed earlier, while they were written, were still running and called ten times a second on ports that had been given out again. The program's own part: none.

At fault: tests/peers.py `world` ended its peers and callers, not the processes.

--- a/tests/peers.py
+++ b/tests/peers.py
@@ -234,6 +234,7 @@
     node: Node | None = None
     address: tuple[str, int] = ("", 0)
     callers: list[Caller] = field(default_factory=list)
+    processes: list[asyncio.subprocess.Process] = field(default_factory=list)
 
     async def caller(self) -> Caller:
         caller = Caller(*await asyncio.open_connection(*self.address))
@@ -286,6 +287,10 @@
     finally:
         for caller in scene.callers:
             caller.writer.close()
+        for process in scene.processes:  # one left behind by a test that fails would call on others' ports
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
         for peer in (registry, *servers):
             await peer.stop()
         if scene.node is not None:
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -117,8 +117,6 @@
                 caller.writer.close()
             for connection in idle:
                 connection.close()
-            program.process.kill()
-            await program.process.wait()
         for peer in (new, other, moved):
             await peer.stop()
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -664,6 +664,7 @@
     @classmethod
     async def start(cls, scene: World, descriptors: int | None = None) -> Program:
         program = cls(await spawn(scene.path, descriptors), scene)
+        scene.processes.append(program.process)
         assert program.process.stderr is not None
         while True:
             line = await asyncio.wait_for(program.process.stderr.readline(), LIMIT_S)
