--- a/tests/coldfleet.py
+++ b/tests/coldfleet.py
@@ -13,6 +13,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from nickelbridge import interface as api
 from nickelbridge.interface import Result
@@ -125,7 +126,7 @@
             self._machines[self.day.warm + n] = Machine(self._now, self._now)
         for number in range(self.copies):
             late = self._rng.random() * self.day.hear_ms
-            self._at(self._now + late, lambda number=number: self._hear(number))  # type: ignore[misc]
+            self._at(self._now + late, partial(self._hear, number))
 
     def _hear(self, number: int) -> None:
         self._told[number] = True
@@ -155,7 +156,7 @@
                 self._send(number, node, action)
             elif isinstance(action, api.SetTimer):
                 fired = api.TimerFired(action.token)
-                self._at(self._now + action.delay_ms, lambda fired=fired: self._do(number, node, fired))  # type: ignore[misc]
+                self._at(self._now + action.delay_ms, partial(self._do, number, node, fired))
 
     def _send(self, number: int, node: Balancer, send: api.Send) -> None:
         attempt, work_ms = self._sent[number, send.id]
