--- /dev/null
+++ b/tests/test_clock_steps.py
@@ -0,0 +1,76 @@
+"""Steps of the wall clock change nothing that is known of when servers started."""
+
+from __future__ import annotations
+
+import time
+from pathlib import Path
+
+import pytest
+
+from orchidferry.config import now_ms
+from tests.peers import Server, World, run, until, world
+
+HOUR_S = 3600.0
+UP_S = 600.0  # how long all servers have been up
+COUNT = 6
+
+
+class WallClock:
+    """The node's wall clock; steps of it leave the monotonic clock alone."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self._true_time = time.time
+        self.offset_s = 0.0
+        monkeypatch.setattr(time, "time", lambda: self._true_time() + self.offset_s)
+
+    def true_ms(self) -> int:
+        """The time by the servers' clocks, in ms."""
+        return int(self._true_time() * 1000.0)
+
+
+def warmths(scene: World) -> dict[str, float]:
+    """The share of its capacity that each server is taken to have, by its name."""
+    assert scene.node is not None
+    module = scene.node._balancer
+    names = {scene.node._addresses[id]: id for id in module.fleet.servers}
+    return {
+        server.name: module.fleet.servers[names["127.0.0.1", int(server.address.rpartition(":")[2])]].warmth(
+            now_ms(), module.settings
+        )
+        for server in scene.servers
+    }
+
+
+async def told(scene: World, entries: list[dict[str, object]]) -> None:
+    """Tell the whole list and wait until the node has taken it."""
+    watches = scene.registry.watches()
+    scene.registry.tell(*entries, snapshot=True)
+    await until(lambda: scene.registry.watches() > watches)
+
+
+def test_a_step_of_the_wall_clock_leaves_warm_servers_warm_and_cold_ones_cold(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Stepped back all servers were taken for cold, stepped forward a new one got a full share at once."""
+
+    async def test(step_s: float) -> None:
+        clock = WallClock(monkeypatch)
+        up = clock.true_ms() - int(UP_S * 1000.0)
+        servers = [Server(name=f"s{n}") for n in range(COUNT)]
+        async with world(tmp_path, *servers, known=False) as scene:
+            scene.registry.whole = [server.entry(since_ms=up) for server in servers]
+            await until(lambda: scene.registry.watches() == 1)
+            assert set(warmths(scene).values()) == {1.0}
+            clock.offset_s = step_s
+            restarted = clock.true_ms()
+            entries = [server.entry(since_ms=up) for server in servers]
+            await told(scene, [*entries[:-1], servers[-1].entry(since_ms=restarted)])
+            warmth = warmths(scene)
+            cold = warmth.pop(servers[-1].name)
+            assert set(warmth.values()) == {1.0}
+            assert scene.node is not None
+            start = scene.node._config.settings.start_capacity
+            assert start <= cold < start + 0.1
+
+    for step_s in (-HOUR_S, HOUR_S):
+        run(test(step_s))
--- /dev/null
+++ b/tests/test_deadline.py
@@ -0,0 +1,46 @@
+"""The time that a server is told is what its caller has left when the request is written."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from pathlib import Path
+
+from tests.peers import LIMIT_S, Server, read_message, request, run, until, world
+
+SLACK_S = 0.15  # by which the time stated may be above what is left
+BUDGET_S = 2.5
+
+
+def test_the_deadline_passed_on_counts_the_time_that_the_dial_took(tmp_path: Path) -> None:
+    """The head was rendered before the dial: 2.37 s were stated where 1.47 s were left."""
+
+    async def test() -> None:
+        with socket.socket() as slow, socket.socket() as filler:
+            slow.bind(("127.0.0.1", 0))
+            slow.listen(0)  # full with one: the next handshake hangs until that is accepted
+            filler.connect(slow.getsockname())
+            slow.setblocking(False)
+            async with world(tmp_path, known=False) as scene:
+                entry = {"name": "slow", "address": f"127.0.0.1:{slow.getsockname()[1]}", "status": "active"}
+                scene.registry.whole = [entry]
+                await until(lambda: scene.node is not None and bool(scene.node._in_service))
+                caller = await scene.caller()
+                sent_s = time.monotonic()
+                caller.write(request("late", budget=str(BUDGET_S)))
+                assert scene.node is not None
+                upstream = scene.node._upstream
+                await until(lambda: len(upstream._dials) == 1)
+                loop = asyncio.get_running_loop()
+                (await loop.sock_accept(slow))[0].close()
+                # The handshake is tried again after 1 s.
+                connection, _ = await asyncio.wait_for(loop.sock_accept(slow), LIMIT_S)
+                reader, writer = await asyncio.open_connection(sock=connection)
+                seen = await read_message(reader)
+                left_s = BUDGET_S - (time.monotonic() - sent_s)
+                writer.close()
+                assert seen is not None and left_s < BUDGET_S - 0.5
+                assert float(seen.headers["x-budget"]) <= left_s + SLACK_S
+
+    run(test())
