Place servers' starts by what discovery tells, not by the wall clock of the moment

Cause: read_listing turned since_ms into monotonic time with the wall clock as it stood when each list was read, so a step of that clock moved every start: back, all servers were cold; forward, a new one got a full share at once.

Change: a start is new where since_ms differs from what was told before; the wall clock is read once, and a new start lies between the answer before and the moment it was told, which bounds the harm of a clock that was wrong from the first. Servers that leave the list and return unchanged keep their start.

--- a/orchidferry/config.py
+++ b/orchidferry/config.py
@@ -7,6 +7,7 @@
 
 import hashlib
 import json
+import math
 import re
 import time
 from dataclasses import dataclass
@@ -39,6 +40,8 @@
     whole: bool
     entries: list[api.ServerEntry]
     addresses: dict[int, Address]
+    since_ms: dict[int, float]  # when each last started: Unix time in ms, 0 for long ago
+    previous_ms: float = -math.inf  # when the answer before it came, by `now_ms`
 
 
 @dataclass(slots=True)
@@ -83,13 +86,13 @@
 
 
 def read_listing(obj: Json) -> Listing:
-    """Read a list as discovery writes it. `since_ms` is Unix time; the module's clock is monotonic."""
-    offset_ms = now_ms() - time.time() * 1000.0
+    """Read a list as discovery writes it; `StartTimes` turns `since_ms` into the entries' starts."""
     entries: list[api.ServerEntry] = []
     addresses: dict[int, Address] = {}
+    since_ms: dict[int, float] = {}
     for item in objects(obj, "endpoints"):
         server = server_id(get(item, "name", str))
-        since_ms = opt(item, "since_ms", NUMBER, 0)
+        since_ms[server] = opt(item, "since_ms", NUMBER, 0)
         entries.append(
             api.ServerEntry(
                 server=server,
@@ -98,11 +101,10 @@
                 cell=opt(item, "group", int, 0),
                 health=word(item, "status", STATUSES),
                 share=opt(item, "weight", NUMBER, 1.0),
-                started_ms=since_ms + offset_ms if since_ms > 0 else None,
             )
         )
         addresses[server] = address(get(item, "address", str))
-    return Listing(get(obj, "index", int), get(obj, "snapshot", bool), entries, addresses)
+    return Listing(get(obj, "index", int), get(obj, "snapshot", bool), entries, addresses, since_ms)
 
 
 def read_config(path: str) -> Config:
--- a/orchidferry/discovery.py
+++ b/orchidferry/discovery.py
@@ -7,13 +7,14 @@
 
 import asyncio
 import json
+import math
 from collections.abc import Callable
 from typing import cast
 
 import httptools
 
 from nickelbridge.settings import Malformed
-from orchidferry.config import Address, Listing, read_listing
+from orchidferry.config import Address, Listing, now_ms, read_listing
 
 # How long discovery may keep a watch open, and what it gets beyond that. Its silence shows only then. In
 # incident r32b5e5, at 20 s, all nodes sent through a whole release by the list they had started with. A watch
@@ -95,6 +96,7 @@
     ) -> None:
         self._loop, self._address, self._news = loop, address, news
         self._index = 0
+        self._heard_ms = -math.inf  # when the last good answer came
         # The next call asks for the whole list. The first does: versions need not be those that an earlier
         # process heard, and unlike a watch it is answered at once also where nothing has changed.
         self._whole = True
@@ -204,6 +206,7 @@
             self._whole = True  # changes to a list that we don't hold
             return self._ask()
         self._index, self._whole = listing.index, False
+        listing.previous_ms, self._heard_ms = self._heard_ms, now_ms()
         # A watch goes on only if the next call comes within 200 ms.
         self._ask()
         if listing.whole or listing.entries:
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -20,6 +20,7 @@
 from orchidferry.discovery import Discovery
 from orchidferry.frontend import Asker, Frontend, Reply
 from orchidferry.request import Message, Unacceptable
+from orchidferry.starts import StartTimes
 from orchidferry.upstream import Answer, Attempt, Upstream
 
 MARGIN_MS = 10.0  # of a budget: it ran before the request was read, and the answer takes its time
@@ -89,6 +90,7 @@
         self._attempts: dict[tuple[str, int], Attempt] = {}  # those that are out
         self._addresses: dict[int, Address] = {}
         self._in_service: set[int] = set()
+        self._starts = StartTimes()
         self._upstream = Upstream(loop, settings.connect_timeout_ms, settings.keepalive_ms, self._room)
         self._discovery = Discovery(loop, config.discovery, self._on_news)
         self._asked = False  # the first call to discovery has ended
@@ -310,6 +312,7 @@
             self._loop.call_later(PUSHED_RETRY_S, self._discovery.subscribe)
 
     def _take_listing(self, listing: Listing, kind: api.ListKind) -> None:
+        self._starts.place(listing, now_ms())
         if kind is not api.ListKind.CHANGES:
             for server in self._addresses.keys() - listing.addresses.keys():
                 self._forget(server)
@@ -327,4 +330,5 @@
     def _forget(self, server: int) -> None:
         self._in_service.discard(server)
         self._addresses.pop(server, None)
+        self._starts.forget(server)
         self._upstream.close_idle(server)
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 import time
 from pathlib import Path
 
 import pytest
 
-from orchidferry.config import now_ms
+from orchidferry.config import Listing, now_ms, read_listing, server_id
+from orchidferry.starts import StartTimes
 from tests.peers import Server, World, run, until, world
 
 HOUR_S = 3600.0
@@ -74,3 +76,52 @@
 
     for step_s in (-HOUR_S, HOUR_S):
         run(test(step_s))
+
+
+TOLD_MS, PREVIOUS_MS = 50_000.0, 49_000.0  # of the list that tells a start, and of the one before it
+
+
+def listing(since_ms: float, previous_ms: float = PREVIOUS_MS) -> Listing:
+    entry = {"name": "s", "address": "127.0.0.1:1", "status": "active", "since_ms": since_ms}
+    made = read_listing({"index": 1, "snapshot": True, "endpoints": [entry]})
+    made.previous_ms = previous_ms
+    return made
+
+
+def placed(starts: StartTimes, told: Listing, told_ms: float = TOLD_MS) -> float | None:
+    starts.place(told, told_ms)
+    [entry] = told.entries
+    return entry.started_ms
+
+
+@pytest.mark.parametrize(
+    ("wrong_s", "first"), [(HOUR_S, PREVIOUS_MS), (-HOUR_S, TOLD_MS)], ids=["ahead", "behind"]
+)
+def test_with_a_wall_clock_that_was_always_wrong_a_new_start_lies_between_two_lists(
+    wrong_s: float, first: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    clock = WallClock(monkeypatch)
+    clock.offset_s = wrong_s
+    starts = StartTimes()
+    assert placed(starts, listing(clock.true_ms())) == first
+
+
+def test_a_start_is_new_only_where_discovery_tells_another_one() -> None:
+    starts = StartTimes()
+    assert placed(starts, listing(0)) is None
+    assert placed(starts, listing(1000.0, -math.inf)) is not None  # a clock that was set, long ago
+    old = placed(starts, listing(1000.0))
+    assert placed(starts, listing(1000.0), TOLD_MS + 1000.0) == old
+    starts.forget(server_id("s"))  # a region's return: as it was, not cold
+    assert placed(starts, listing(1000.0), TOLD_MS + 2000.0) == old
+    assert placed(starts, listing(900.0), TOLD_MS + 3000.0) == PREVIOUS_MS  # back, by the server's clock
+
+
+def test_what_is_remembered_of_servers_that_left_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("orchidferry.starts.MOST_REMEMBERED", 3)
+    starts = StartTimes()
+    for n in range(10):
+        entry = {"name": f"s{n}", "address": "127.0.0.1:1", "status": "active", "since_ms": 1000.0}
+        starts.place(read_listing({"index": n, "snapshot": False, "endpoints": [entry]}), TOLD_MS)
+        starts.forget(server_id(f"s{n}"))
+    assert len(starts._left) == 3 and not starts._listed
--- a/tests/test_deadline.py
+++ b/tests/test_deadline.py
@@ -7,7 +7,7 @@
 import time
 from pathlib import Path
 
-from tests.peers import LIMIT_S, Server, read_message, request, run, until, world
+from tests.peers import LIMIT_S, read_message, request, run, until, world
 
 SLACK_S = 0.15  # by which the time stated may be above what is left
 BUDGET_S = 2.5
