State the time that is left when a request is written, counted from when it was read

Cause: node.py rendered the head, with X-Budget, before the dial; and a request read behind another on its connection was counted from when that one ended.

Change: the connection renders a request as it writes it; a request carries the moment its last byte was read, and its deadline runs from there.

--- a/orchidferry/frontend.py
+++ b/orchidferry/frontend.py
@@ -24,7 +24,7 @@
 import httptools
 
 from nickelbridge import interface as api
-from orchidferry.config import Address
+from orchidferry.config import Address, now_ms
 from orchidferry.request import SINGLE, Message, Unacceptable, check_framing, read_message
 from orchidferry.upstream import MAX_BODY, MAX_HEAD
 
@@ -279,7 +279,7 @@
         if path.startswith(OWN_PATHS):
             return self._frontend.own_path(path)
         method, body = self._parser.get_method(), b"".join(self._body)
-        return read_message(self._frontend.classes, method, self._target, self._headers, body)
+        return read_message(self._frontend.classes, method, self._target, self._headers, body, now_ms())
 
     def _reject(self, status: int, why: str) -> None:
         """Note what is wrong; the first thing counts. Nothing after it is read."""
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -48,7 +48,7 @@
 
     def __init__(self, node: Node, id: str, message: Message, asker: Asker, deadline_ms: float) -> None:
         self._node, self.id, self.message, self.asker = node, id, message, asker
-        self.came_ms, self.deadline_ms = now_ms(), deadline_ms
+        self.came_ms, self.deadline_ms = message.came_ms, deadline_ms
         self.attempts = 0  # begun so far
         self.story: list[str] = []  # how each of them ended, for the log
         self.deadline_timer: asyncio.TimerHandle | None = None
@@ -58,7 +58,7 @@
 
 
 def request_bytes(message: Message, address: Address, timeout_ms: float) -> bytes:
-    """A request as it goes to a server, in one piece."""
+    """A request as it goes to a server, in one piece; it is waited for so long from now."""
     parts = [
         message.method, b" ", message.target, b" HTTP/1.1\r\nHost: ",
         f"{address[0]}:{address[1]}\r\nX-Call-Id: {message.id}\r\n".encode(),
@@ -156,7 +156,7 @@
             raise Unacceptable("a request with this X-Call-Id is open")
         self._serial += 1
         now, id = now_ms(), str(self._serial)
-        live = Live(self, id, message, asker, min(now + message.budget_ms, self._stop_ms))
+        live = Live(self, id, message, asker, min(message.came_ms + message.budget_ms, self._stop_ms))
         self._live[id] = live
         self._open_ids.add(message.id)
         self._set_deadline_timer(live)
@@ -289,8 +289,12 @@
             self._handle(api.AttemptEnded(action.id, number, server, result, took_ms, settled, report))
 
         address = self._addresses[server]
-        message = request_bytes(live.message, address, timeout_ms)
-        attempt = self._upstream.send(server, address, message, timeout_ms, may_send, ended, action.fresh)
+        due_ms = sent_ms + timeout_ms
+
+        def render() -> bytes:
+            return request_bytes(live.message, address, max(0.0, due_ms - now_ms()))
+
+        attempt = self._upstream.send(server, address, render, timeout_ms, may_send, ended, action.fresh)
         if not attempt.over:
             self._attempts[action.id, number] = attempt
 
--- a/orchidferry/request.py
+++ b/orchidferry/request.py
@@ -35,6 +35,7 @@
     key: bytes | None
     content_type: bytes | None
     body: bytes
+    came_ms: float  # when its last byte was read, by `now_ms`: its budget runs from there
 
 
 class Unacceptable(Exception):
@@ -58,6 +59,7 @@
     target: bytes,
     headers: dict[bytes, bytes],
     body: bytes,
+    came_ms: float,
 ) -> Message:
     """Check a whole request; `Unacceptable` says what is wrong with it."""
     try:
@@ -83,5 +85,5 @@
     return Message(
         # Nobody waits longer than the class's deadline: a longer budget would hold the books open.
         method, target, id.decode(), cls.name, min(float(budget) * 1000.0, cls.deadline_ms), tenant,
-        headers.get(b"x-again") == b"1", key, headers.get(b"content-type"), body,
+        headers.get(b"x-again") == b"1", key, headers.get(b"content-type"), body, came_ms,
     )  # fmt: skip
--- a/orchidferry/upstream.py
+++ b/orchidferry/upstream.py
@@ -52,11 +52,11 @@
     """One copy of a request on its way to one server; reports its outcome exactly once."""
 
     __slots__ = (
-        "_cancel_io", "_ended", "_timer", "may_send", "message", "over", "overtime", "unread", "written",
+        "_cancel_io", "_ended", "_timer", "may_send", "over", "overtime", "render", "unread", "written",
     )  # fmt: skip
 
-    def __init__(self, message: bytes, may_send: Callable[[], bool], ended: Ended) -> None:
-        self.message, self.may_send, self._ended = message, may_send, ended
+    def __init__(self, render: Callable[[], bytes], may_send: Callable[[], bool], ended: Ended) -> None:
+        self.render, self.may_send, self._ended = render, may_send, ended
         self.written = self.over = False
         self.overtime = False  # its time was up with an answer unread
         self._timer: asyncio.TimerHandle | None = None
@@ -206,7 +206,7 @@
         self._start_answer()
         attempt.carried_by(self.close)
         attempt.unread = self.unread
-        self._transport.write(attempt.message)
+        self._transport.write(attempt.render())
         if self._transport.is_closing():  # the write itself failed
             self._end(Result.UNREACHABLE, reuse=False)
         else:
@@ -304,14 +304,17 @@
         self,
         server: int,
         address: Address,
-        message: bytes,
+        render: Callable[[], bytes],
         timeout_ms: float,
         may_send: Callable[[], bool],
         ended: Ended,
         fresh: bool = False,
     ) -> Attempt:
-        """Start an attempt, on a new connection if `fresh`; `ended` may be called before this returns."""
-        attempt = Attempt(message, may_send, ended)
+        """Start an attempt, on a new connection if `fresh`; `ended` may be called before this returns.
+
+        `render` gives the request's bytes when they are written: a dial may take most of the time there is.
+        """
+        attempt = Attempt(render, may_send, ended)
         self._set_timeout(max(0.0, timeout_ms) / 1000.0, attempt)
         idle = self._idle.get(server, [])
         if fresh and idle:
--- a/tests/test_deadline.py
+++ b/tests/test_deadline.py
@@ -7,7 +7,7 @@
 import time
 from pathlib import Path
 
-from tests.peers import LIMIT_S, read_message, request, run, until, world
+from tests.peers import LIMIT_S, Server, read_message, request, run, until, world
 
 SLACK_S = 0.15  # by which the time stated may be above what is left
 BUDGET_S = 2.5
@@ -44,3 +44,23 @@
                 assert float(seen.headers["x-budget"]) <= left_s + SLACK_S
 
     run(test())
+
+
+def test_the_deadline_of_a_request_sent_ahead_counts_from_when_it_came(tmp_path: Path) -> None:
+    """It counted from the end of the request before it on the connection."""
+
+    async def test() -> None:
+        server = Server()
+        server.gate.clear()
+        async with world(tmp_path, server) as scene:
+            caller = await scene.caller()
+            sent_s = time.monotonic()
+            caller.write(request("first") + request("second", budget=str(BUDGET_S)))
+            await until(lambda: len(server.seen) == 1)
+            await asyncio.sleep(1.0)
+            server.gate.set()
+            await until(lambda: len(server.seen) == 2)
+            left_s = BUDGET_S - (time.monotonic() - sent_s)
+            assert float(server.seen[1].headers["x-budget"]) <= left_s + SLACK_S
+
+    run(test())
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -158,7 +158,7 @@
             self.answers.append(answer)
 
         self.upstream.send(
-            1, self.address, request(id), 20_000.0, lambda: alive is None or alive[0], ended
+            1, self.address, lambda: request(id), 20_000.0, lambda: alive is None or alive[0], ended
         )  # fmt: skip
 
     async def result(self, count: int) -> Result:
@@ -227,7 +227,7 @@
             ended = loop.create_future()
             sent_s = time.monotonic()
             attempts.upstream.send(
-                1, attempts.address, request("a"), timeout_s * 1000.0, lambda: True,
+                1, attempts.address, lambda: request("a"), timeout_s * 1000.0, lambda: True,
                 lambda result, _: ended.set_result(result),
             )  # fmt: skip
             connection, _ = await asyncio.to_thread(listener.accept)
@@ -407,7 +407,7 @@
         attempts = Attempts(server.address)
         for n in range(20):
             attempt = attempts.upstream.send(
-                1, attempts.address, request("a"), 20_000.0, lambda: True,
+                1, attempts.address, lambda: request("a"), 20_000.0, lambda: True,
                 lambda result, answer: attempts.results.append(result),
             )  # fmt: skip
             for _ in range(n % 4):  # at each step of it
