Take the server's orderly close as the end of an answer with no length

Cause: upstream.py counted an answer without Content-Length or chunks as spoilt as soon as its head was read (on_headers_complete).

Change: such an answer ends with the end of the connection that eof_received tells; a reset never gets there and stays a reset, also right after the last byte; a body over 64 KiB stays an error.

--- a/orchidferry/upstream.py
+++ b/orchidferry/upstream.py
@@ -164,7 +164,10 @@
             self._end(Result.ERROR, reuse=False)
 
     def eof_received(self) -> None:
-        return None  # closes, and `connection_lost` reports
+        """The server's orderly end: that of an answer with no length; `connection_lost` reports the rest."""
+        if self._attempt is not None and self._in_body and not self._complete and not self._framings:
+            self._complete, self._keep = True, False
+            self._answered()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._lost = True
@@ -257,8 +260,8 @@
     def on_headers_complete(self) -> None:
         if not self._complete:
             self._status, self._in_body = self._parser.get_status_code(), True
-            # With none the answer would end with the connection, which stays open; of two, one lies.
-            self._spoilt = self._spoilt or (self._status >= 200 and self._framings != 1)
+            # With none the answer ends with the connection; of two, one lies.
+            self._spoilt = self._spoilt or self._framings > 1
 
     def on_body(self, body: bytes) -> None:
         if not self._complete:
--- a/tests/test_close_framed.py
+++ b/tests/test_close_framed.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+import socket
+import struct
 from pathlib import Path
 
-from tests.peers import CLOSE, Server, run, world
+import pytest
+
+from tests.peers import CLOSE, LIMIT_S, Server, request, run, until, world
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"
 
@@ -21,3 +26,49 @@
             assert (reply.status, reply.body) == (200, b"")
 
     run(test())
+
+
+def test_a_refusal_with_no_length_is_a_refusal(tmp_path: Path) -> None:
+    async def test() -> None:
+        server = Server(b"HTTP/1.1 503 Full\r\nX-Rejected: 1\r\n\r\n" + CLOSE)
+        async with world(tmp_path, server) as scene:
+            assert (await scene.ask("a", "pay")).status == 200
+            assert [seen.id for seen in server.seen] == ["a", "a"]
+
+    run(test())
+
+
+def test_an_answer_with_no_length_and_no_end_fails_in_its_time(tmp_path: Path) -> None:
+    async def test() -> None:
+        server = Server(HEAD + b"without end")
+        async with world(tmp_path, server) as scene:
+            assert (await scene.ask("a", "pay", budget="0.5")).status in (502, 504)
+            assert (await scene.ask("b", "pay")).body == b"done"
+            assert [seen.id for seen in server.seen] == ["a", "b"]
+
+    run(test())
+
+
+@pytest.mark.parametrize("behind", ["at once", "later"])
+def test_a_reset_right_after_the_last_byte_is_no_end(behind: str, tmp_path: Path) -> None:
+    """Read in one turn of the loop with the body, or in a later one."""
+
+    async def test() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            listener.settimeout(LIMIT_S)
+            entry = {"name": "s", "address": f"127.0.0.1:{listener.getsockname()[1]}", "status": "active"}
+            async with world(tmp_path, known=False) as scene:
+                scene.registry.whole = [entry]
+                caller = await scene.caller()
+                await until(lambda: scene.node is not None and bool(scene.node._in_service))
+                caller.write(request("a", "pay"))
+                connection, _ = await asyncio.to_thread(listener.accept)
+                await asyncio.to_thread(connection.recv, 65536)
+                connection.sendall(HEAD + b"whole, as it looks")
+                if behind == "later":
+                    await asyncio.sleep(0.1)
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                connection.close()
+                assert (await caller.read()).status == 502
+
+    run(test())
