--- a/tests/peers.py
+++ b/tests/peers.py
@@ -235,6 +235,13 @@
     callers: list[Caller] = field(default_factory=list)
     processes: list[asyncio.subprocess.Process] = field(default_factory=list)
 
+    async def begin(self) -> None:
+        """Start a node in this process, by the configuration file as it is now."""
+        loop = asyncio.get_running_loop()
+        node = self.node = Node(read_config(str(self.path)), loop)
+        self.address = await node.frontend.listen(loop, ("127.0.0.1", 0))
+        node.start()
+
     async def caller(self) -> Caller:
         caller = Caller(*await asyncio.open_connection(*self.address))
         self.callers.append(caller)
@@ -277,10 +284,7 @@
     file.write_text(json.dumps(config))
     scene = World(config, file, registry, list(servers))
     if start:
-        loop = asyncio.get_running_loop()
-        node = scene.node = Node(read_config(str(file)), loop)
-        scene.address = await node.frontend.listen(loop, ("127.0.0.1", 0))
-        node.start()
+        await scene.begin()
     try:
         yield scene
     finally:
--- /dev/null
+++ b/tests/test_slow_lists.py
@@ -0,0 +1,54 @@
+"""Lists that come slowly, in every framing, from a discovery that is slow or crowded."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+
+from tests.peers import Registry, Seen, Server, run, until, world
+
+PIECES = 15
+PIECE_EVERY_S = 0.1
+
+
+class SlowRegistry(Registry):
+    """Discovery that writes its whole lists piece by piece."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.whole_lists = 0
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writer = writer
+        await super()._serve(reader, writer)
+
+    async def script(self, message: Seen) -> bytes:
+        data = await super().script(message)
+        if "index=" in message.target:
+            return data
+        size = len(data) // PIECES
+        for start in range(0, PIECES * size, size):
+            self._writer.write(data[start : start + size])
+            await asyncio.sleep(PIECE_EVERY_S)
+        self.whole_lists += 1
+        return data[PIECES * size :]
+
+
+def test_a_whole_list_that_comes_in_pieces_for_longer_than_a_call_may_be_silent_is_taken(
+    tmp_path: Path,
+) -> None:
+    """Each call was cut at 1 s, however much of its answer had come: the node was never ready."""
+
+    async def test() -> None:
+        server, source = Server(), SlowRegistry()
+        await source.start()
+        async with world(tmp_path, server, start=False, known=False) as scene:
+            source.whole = [server.entry()]
+            scene.path.write_text(json.dumps(scene.config | {"discovery": source.address}))
+            await scene.begin()
+            await until(lambda: scene.node is not None and bool(scene.node._in_service))
+            assert source.connections == 1
+        await source.stop()
+
+    run(test())
