Split the callers' side into parser, reply, connection, stages and listener

No behaviour changes: RequestParser yields whole messages and the rejection that ends a connection, CallerConnection answers them in order, StageTable keeps the limits of stages, Frontend listens.

--- /dev/null
+++ b/orchidferry/limits.py
@@ -0,0 +1,6 @@
+"""Sizes that hold for messages on every connection."""
+
+from __future__ import annotations
+
+MAX_BODY = 64 * 1024  # bytes, by the protocol
+MAX_HEAD = 16 * 1024  # bytes of a start line with its headers
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -16,9 +16,11 @@
 from nickelbridge.bucket import Bucket
 from nickelbridge.interface import Result
 from nickelbridge.logic import Balancer
+from orchidferry.caller import Requester
 from orchidferry.config import Address, Config, Listing, now_ms
 from orchidferry.discovery import Discovery
-from orchidferry.frontend import Asker, Frontend, Reply
+from orchidferry.frontend import Frontend
+from orchidferry.reply import Reply
 from orchidferry.request import Message, Unacceptable
 from orchidferry.starts import StartTimes
 from orchidferry.upstream import Answer, Attempt, Upstream
@@ -43,14 +45,17 @@
     """A request that is owed its answer, with its attempts."""
 
     __slots__ = (
-        "_node", "asker", "attempts", "came_ms", "deadline_ms", "deadline_timer", "id", "message", "story",
+        "_node", "attempts", "came_ms", "deadline_ms", "deadline_timer", "id", "message", "outcomes",
+        "requester",
     )  # fmt: skip
 
-    def __init__(self, node: Node, id: str, message: Message, asker: Asker, deadline_ms: float) -> None:
-        self._node, self.id, self.message, self.asker = node, id, message, asker
+    def __init__(
+        self, node: Node, id: str, message: Message, requester: Requester, deadline_ms: float
+    ) -> None:
+        self._node, self.id, self.message, self.requester = node, id, message, requester
         self.came_ms, self.deadline_ms = message.came_ms, deadline_ms
         self.attempts = 0  # begun so far
-        self.story: list[str] = []  # how each of them ended, for the log
+        self.outcomes: list[str] = []  # how each of them ended, for the log
         self.deadline_timer: asyncio.TimerHandle | None = None
 
     def caller_gone(self) -> None:
@@ -150,13 +155,13 @@
 
     # Requests
 
-    def accept(self, message: Message, asker: Asker) -> Live:
-        """Take a request; from now on its asker is owed exactly one answer."""
+    def accept(self, message: Message, requester: Requester) -> Live:
+        """Take a request; from now on its caller is owed exactly one answer."""
         if message.id in self._open_ids:
             raise Unacceptable("a request with this X-Call-Id is open")
         self._serial += 1
         now, id = now_ms(), str(self._serial)
-        live = Live(self, id, message, asker, min(message.came_ms + message.budget_ms, self._stop_ms))
+        live = Live(self, id, message, requester, min(message.came_ms + message.budget_ms, self._stop_ms))
         self._live[id] = live
         self._open_ids.add(message.id)
         self._set_deadline_timer(live)
@@ -191,7 +196,7 @@
         if live is not None and self._drop(live):
             if reply.status != 200:
                 self._trace(live, f"answered {reply.status}")
-            live.asker.answer(reply)
+            live.requester.answer(reply)
 
     def _trace(self, live: Live, end: str) -> None:
         """Log a request that ended badly, from its arrival on, with every attempt."""
@@ -199,8 +204,8 @@
         if self._traces.take(TRACES_PER_S / 1000.0, TRACES_PER_S, now):
             log.info(
                 "request %s %s %s after %.1f of %.1f ms: %s%s", message.id, message.cls, end,
-                now - live.came_ms, message.budget_ms, "; ".join(live.story) or "no attempt ended",
-                f"; {out} out" if (out := live.attempts - len(live.story)) else "",
+                now - live.came_ms, message.budget_ms, "; ".join(live.outcomes) or "no attempt ended",
+                f"; {out} out" if (out := live.attempts - len(live.outcomes)) else "",
             )  # fmt: skip
 
     def _overdue(self, live: Live) -> None:
@@ -211,7 +216,7 @@
         elif self._drop(live):
             log.warning("request %s was not ended by its deadline", live.message.id)
             self._trace(live, "answered 504")
-            live.asker.answer(Reply(504, b"no answer in time"))
+            live.requester.answer(Reply(504, b"no answer in time"))
             self._handle(api.ClientGone(live.id))
 
     # The module
@@ -259,7 +264,7 @@
 
     def _send(self, action: api.Send) -> None:
         live, server, sent_ms = self._live.get(action.id), action.server, now_ms()
-        if live is not None and live.asker.gone():
+        if live is not None and live.requester.gone():
             self.caller_gone(live)
             live = None
         if live is None or server not in self._in_service:
@@ -271,7 +276,7 @@
         timeout_ms = max(0.0, min(action.timeout_ms, live.deadline_ms - MARGIN_MS - sent_ms))
 
         def may_send() -> bool:
-            if live.asker.gone():
+            if live.requester.gone():
                 self.caller_gone(live)
             return action.id in self._live and server in self._in_service
 
@@ -279,7 +284,7 @@
             self._attempts.pop((action.id, number), None)
             took_ms = now_ms() - sent_ms
             began_ms = sent_ms - live.came_ms
-            live.story.append(
+            live.outcomes.append(
                 f"{result.name} at {address[0]}:{address[1]} from {began_ms:.1f} for {took_ms:.1f}"
             )
             if result is Result.SERVED and answer is not None:
--- a/orchidferry/upstream.py
+++ b/orchidferry/upstream.py
@@ -19,9 +19,8 @@
 
 from nickelbridge.interface import Result
 from orchidferry.config import Address, now_ms
+from orchidferry.limits import MAX_BODY, MAX_HEAD
 
-MAX_BODY = 64 * 1024
-MAX_HEAD = 16 * 1024
 MOST_REPORTED = 1e6  # of any figure in a load report
 IDLE_SHARE = 0.5  # of the servers' idle limit: a request that crosses their close ends as a reset
 # What a dial fails with for want of something here, whatever the server does.
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -8,8 +8,9 @@
 
 import pytest
 
-from orchidferry import frontend, node
-from orchidferry.frontend import Stage
+from orchidferry import frontend, node, stages
+from orchidferry.caller import CallerConnection
+from orchidferry.stages import Stage
 from tests.peers import HANG, LIMIT_S, Server, World, answer, request, run, until, world
 
 
@@ -17,8 +18,8 @@
 def soon(monkeypatch: pytest.MonkeyPatch) -> None:
     """Limits that a test can wait for."""
     monkeypatch.setattr(frontend, "SWEEP_S", 0.02)
-    for stage in frontend.LIMITS_S:
-        monkeypatch.setitem(frontend.LIMITS_S, stage, 0.2)
+    for stage in stages.LIMITS_S:
+        monkeypatch.setitem(stages.LIMITS_S, stage, 0.2)
 
 
 def callers(scene: World) -> int:
@@ -68,13 +69,13 @@
     run(test())
 
 
-async def slow_reader(scene: World, deaf: socket.socket) -> frontend.Caller:
+async def slow_reader(scene: World, deaf: socket.socket) -> CallerConnection:
     """Connect a caller whose socket and the node's own for it hold very little."""
     deaf.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
     await asyncio.to_thread(deaf.connect, scene.address)
     await until(lambda: callers(scene) == 1)
     assert scene.node is not None
-    [caller] = scene.node.frontend._stages[Stage.NEW]
+    [caller] = scene.node.frontend.connections.of(Stage.NEW)
     own = caller._transport.get_extra_info("socket")
     own.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
     return caller
@@ -98,7 +99,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Its connection closes only once all is written; till then its request was sent again and again."""
-    monkeypatch.setitem(frontend.LIMITS_S, Stage.LEAVING, 1000.0)
+    monkeypatch.setitem(stages.LIMITS_S, Stage.LEAVING, 1000.0)
 
     async def test() -> None:
         server = Server(answer(200, b"x" * 40_000), usual=HANG)
@@ -120,7 +121,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Nothing is read from it meanwhile, so its end was not seen, and its next request went out."""
-    monkeypatch.setitem(frontend.LIMITS_S, Stage.LEAVING, 1000.0)
+    monkeypatch.setitem(stages.LIMITS_S, Stage.LEAVING, 1000.0)
 
     async def test() -> None:
         server = Server(usual=answer(200, b"x" * 65536))
@@ -129,7 +130,7 @@
                 caller = await slow_reader(scene, leaver)
                 leaver.settimeout(LIMIT_S)
                 leaver.sendall(b"".join(request(f"{n}") for n in range(8)))
-                await until(lambda: caller._choked)
+                await until(lambda: caller._write_paused)
                 leaver.sendall(b"".join(request(f"unread-{n}") for n in range(2)))
                 leaver.shutdown(socket.SHUT_WR)
                 sent = len(server.seen)
@@ -157,9 +158,9 @@
                 if kept:
                     caller.sendall(request("a"))
                     assert (await asyncio.to_thread(caller.recv, 1000)).startswith(b"HTTP/1.1 200")
-                stage = scene.node.frontend._stages[Stage.IDLE if kept else Stage.NEW]
-                await until(lambda: len(stage) == 1)
-                [held] = stage
+                connections = scene.node.frontend.connections
+                await until(lambda: len(connections.of(Stage.IDLE if kept else Stage.NEW)) == 1)
+                [held] = connections.all()
                 caller.sendall(request("b"))  # the loop has no turn till the await
                 held.time_out()
                 assert (await asyncio.to_thread(caller.recv, 1000)).startswith(b"HTTP/1.1 200")
@@ -206,8 +207,8 @@
 def test_a_planned_end_does_not_wait_for_callers_that_neither_ask_nor_read(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    for stage in frontend.LIMITS_S:
-        monkeypatch.setitem(frontend.LIMITS_S, stage, 1000.0)
+    for stage in stages.LIMITS_S:
+        monkeypatch.setitem(stages.LIMITS_S, stage, 1000.0)
     monkeypatch.setattr(node, "LONGEST_MS", 300.0)
     monkeypatch.setattr(node, "LAST_MS", 100.0)
 
