Answer every request that was read before a connection ends, each with its own answer

Cause: the ninth request sent ahead, anything that can't be understood, a half-read request's time-out and an id that is open already all went through _turn_away, which dropped the queue and the request that the node had.

Change: past eight queued messages the rest waits unparsed and reading pauses; an error takes its place in the queue, behind the answers that are owed; where these take over 2 s they are given up with 504 first, so that the error comes within 3 s; an open id ends only the request that names it again. A connection is not closed over bytes that are unread.

--- a/orchidferry/caller.py
+++ b/orchidferry/caller.py
@@ -14,16 +14,17 @@
 from orchidferry.config import now_ms
 from orchidferry.reply import Reply, render
 from orchidferry.request import Message, Unacceptable
-from orchidferry.request_parser import Rejection, RequestParser
+from orchidferry.request_parser import Item, Rejection, RequestParser
 from orchidferry.stages import Stage
 
-MOST_PIPELINED = 8  # requests sent ahead on one connection; the protocol says none
+MOST_QUEUED = 8  # messages read ahead of their turn; the rest waits unread, or read and not parsed
+PARSE_BYTES = 4096  # taken from what has been read at a time, so that few messages go beyond that
 
 
 class TakenRequest(Protocol):
     """A request that the node has taken, as far as its caller's connection knows it."""
 
-    def caller_gone(self) -> None:
+    def abandon(self, why: str) -> None:
         """Nobody waits for the answer any more."""
 
 
@@ -66,12 +67,15 @@
         self._owner = owner
         self._transport: asyncio.Transport
         self._parser = RequestParser(owner.classes, owner.own_path)
-        self._queue: deque[Message | Reply] = deque()  # read and not yet begun
+        self._queue: deque[Item] = deque()  # read and not yet begun
+        self._unparsed = b""  # read, while the queue was full
+        self._unparsed_came_ms = 0.0  # when that came
         self._taken: TakenRequest | None = None  # the one that the node has
         self._busy = False  # the node has one, or is just being given it
         self._closing = False  # closes after what is under way
         self._ended = False  # the caller has ended its sending, or has been turned away
         self._write_paused = False  # the caller does not read
+        self._read_paused = False
         self._asked = False  # a request has been taken
 
     # The socket
@@ -85,17 +89,9 @@
         """Serve the requests that are whole by now."""
         if self._ended or self._parser.finished:
             return
-        for item in self._parser.feed(data, now_ms()):
-            if isinstance(item, Rejection):
-                self._turn_away(item.reply)
-            elif len(self._queue) >= MOST_PIPELINED:
-                self._turn_away(Reply(400, b"too many requests sent ahead"))
-            else:
-                self._queue.append(item)
-            if self._ended:
-                break
-        if self._parser.finished:
-            self._closing = True
+        if not self._unparsed:
+            self._unparsed_came_ms = now_ms()
+        self._unparsed += data
         self._serve_next()
         self._settle()
 
@@ -105,36 +101,40 @@
         A caller that ends its sending has gone away: nothing more is done for it meanwhile.
         """
         self._closing = self._ended = True
-        self._queue.clear()
+        self._drop_queued()
         self._let_go()
         self._settle()
 
     def pause_writing(self) -> None:
         """The caller does not read: take nothing more from it, and give it so long."""
         self._write_paused = True
-        self._transport.pause_reading()
+        self._control_reading()
         self._settle()
 
     def resume_writing(self) -> None:
         """The caller has read what it was sent: go on."""
         self._write_paused = False
         if not self._ended and not self._transport.is_closing():
-            self._transport.resume_reading()
             self._serve_next()
             self._settle()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Count the connection out, and let its request go."""
         self._ended = True
-        self._queue.clear()
+        self._drop_queued()
         self._owner.closed(self)
         self._let_go()
 
-    def _let_go(self) -> None:
+    def _drop_queued(self) -> None:
+        """Forget what has been read and not begun."""
+        self._queue.clear()
+        self._unparsed = b""
+
+    def _let_go(self, why: str = "left by its caller") -> None:
         """Tell the node that nobody waits for the request it has."""
         taken, self._taken, self._busy = self._taken, None, False
         if taken is not None:
-            taken.caller_gone()
+            taken.abandon(why)
 
     def _settle(self) -> None:
         """Note what the connection waits for now."""
@@ -144,17 +144,20 @@
     def _current_stage(self) -> Stage:
         if self._ended or self._write_paused or self._transport.is_closing():
             return Stage.LEAVING
+        if self._queue and isinstance(self._queue[-1], Rejection):
+            return Stage.REJECTING
+        if self._asked and self._parser.partial and not self._unparsed:
+            return Stage.READING  # also behind a request in work: whoever stops midway is owed an error soon
         if self._busy or self._queue:
             return Stage.SERVING
         if not self._asked:
             return Stage.NEW
-        return Stage.READING if self._parser.partial else Stage.IDLE
+        return Stage.IDLE
 
     def drain(self) -> None:
         """Close after what is under way, read by the loop or not yet; at once if nothing is."""
         self._closing = True
-        under_way = self._busy or self._parser.partial or bool(self._queue)
-        if not under_way and not self._polled(select.POLLIN):
+        if not self._busy and not self._owes_more():
             self._transport.close()
             self._settle()
 
@@ -168,8 +171,12 @@
         """Its stage has lasted too long."""
         if self.stage is Stage.LEAVING:
             self.abort()
+        elif self.stage is Stage.REJECTING:
+            self._fail_owed()
         elif self._parser.partial:
-            self._turn_away(Reply(408, b"the request took too long to come"))
+            self._parser.stop()
+            self._queue.append(Rejection(Reply(408, b"the request took too long to come")))
+            self._fail_owed()
         elif not self._unread():  # else a request crosses the limit: closed over it, it would be reset
             self._closing = True
             self._transport.close()
@@ -181,35 +188,56 @@
         self._owner.closed(self)  # now: its socket is as good as given back
         self._transport.abort()
 
-    def _turn_away(self, reply: Reply) -> None:
-        """End the connection with an error now.
+    def _fail_owed(self) -> None:
+        """Answer what is owed before a rejection now, so that the rejection is not late."""
+        if self._busy:
+            self._let_go("given up for the error behind it")
+            self._write(Reply(504, b"given up"))
+        owed, self._queue = self._queue, deque()
+        for item in owed:
+            self._queue.append(Reply(504, b"given up") if isinstance(item, Message) else item)
+        self._serve_next()
+        self._settle()
 
-        Whatever else waits on it goes with it: a caller that can't be understood is not made to wait
-        for what it asked before, and what it sends next can't be told apart any more.
-        """
+    def _reject(self, rejection: Rejection) -> None:
+        """Tell the error that ends the connection; all that came before it has its answer."""
         self._closing = self._ended = True
-        self._queue.clear()
-        self._let_go()
-        if self._transport.is_closing():
-            return
-        self._transport.write(render(reply, close=True))
-        if self._parser.partial:
-            # Closing now would reset it, and the error might never be read.
-            self._transport.pause_reading()
-            self._transport.write_eof()
-        else:
-            self._transport.close()
-        self._settle()
+        self._drop_queued()
+        self._transport.write(render(rejection.reply, close=True))
+        self._close_in_order()
 
     # Requests and answers
 
     def _serve_next(self) -> None:
+        """Answer what can be answered now, in order; read on where there is room for more."""
+        self._parse()
         while self._queue and not self._busy and not self._write_paused and not self._transport.is_closing():
             item = self._queue.popleft()
             if isinstance(item, Message):
                 self._take(item)
+            elif isinstance(item, Rejection):
+                self._reject(item)
             else:
                 self._write(item)
+            self._parse()
+        self._control_reading()
+
+    def _parse(self) -> None:
+        """Parse what has been read, as far as the queue has room."""
+        while self._unparsed and len(self._queue) < MOST_QUEUED and not self._parser.finished:
+            piece, self._unparsed = self._unparsed[:PARSE_BYTES], self._unparsed[PARSE_BYTES:]
+            self._queue.extend(self._parser.feed(piece, self._unparsed_came_ms))
+        if self._parser.finished:
+            self._closing, self._unparsed = True, b""
+
+    def _control_reading(self) -> None:
+        """Read from the caller only where it reads its answers, and what was read has been parsed."""
+        if self._ended or self._transport.is_closing():
+            return
+        pause = self._write_paused or bool(self._unparsed)
+        if pause != self._read_paused:
+            self._read_paused = pause
+            (self._transport.pause_reading if pause else self._transport.resume_reading)()
 
     def _take(self, message: Message) -> None:
         self._busy = True
@@ -217,23 +245,32 @@
             taken = self._owner.accept(message, self)
         except Unacceptable as problem:
             self._busy = False
-            return self._turn_away(Reply(400, str(problem).encode()))
+            return self._write(Reply(400, str(problem).encode()))
         self._asked = True
         if self._busy:  # it may have been answered at once
             self._taken = taken
 
     def _unread(self) -> bool:
         """Whether it has sent something, or its end, that the loop has yet to read and will."""
-        reads = not (self._write_paused or self._ended or self._transport.is_closing())
+        reads = not (self._read_paused or self._ended or self._transport.is_closing())
         return reads and self._polled(select.POLLIN)
 
     def gone(self) -> bool:
-        """Whether it has closed, or ended its sending, by the socket itself.
+        """Whether it has closed, or ended its sending, by the socket itself; no more is done for it then.
 
         Timers, and what else came in the same turn of the loop, may run before the end is read; after a turn
         that took long, or where it is not read from, long after it came.
         """
-        return self._ended or self._transport.is_closing() or self._polled(select.POLLRDHUP)
+        if self._ended or self._transport.is_closing():
+            return True
+        if not self._polled(select.POLLRDHUP):
+            return False
+        self._closing = self._ended = True
+        self._drop_queued()
+        if self._read_paused:
+            self._transport.resume_reading()  # up to that end, which closes it once all is written
+        self._settle()
+        return True
 
     def answer(self, reply: Reply) -> None:
         """The node's answer to the request it has."""
@@ -244,7 +281,25 @@
             self._settle()
 
     def _write(self, reply: Reply) -> None:
-        close = self._closing and not self._queue and not self._parser.partial
+        close = self._closing and not self._owes_more()
         self._transport.write(render(reply, close))
         if close:
+            self._close_in_order()
+
+    def _owes_more(self) -> bool:
+        """Whether another message has been read, has begun, or waits to be read."""
+        if self._queue or self._unparsed or self._parser.partial:
+            return True
+        return not self._parser.finished and self._polled(select.POLLIN)
+
+    def _close_in_order(self) -> None:
+        """Close so that what was written can be read.
+
+        Closed over bytes that are unread, or still to come, the connection would be reset.
+        """
+        if self._parser.partial or self._polled(select.POLLIN):
+            self._ended = True
+            self._transport.pause_reading()
+            self._transport.write_eof()
+        else:
             self._transport.close()
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -58,8 +58,9 @@
         self.outcomes: list[str] = []  # how each of them ended, for the log
         self.deadline_timer: asyncio.TimerHandle | None = None
 
-    def caller_gone(self) -> None:
-        self._node.caller_gone(self)
+    def abandon(self, why: str) -> None:
+        """Nobody waits any more."""
+        self._node.abandon(self, why)
 
 
 def request_bytes(message: Message, address: Address, timeout_ms: float) -> bytes:
@@ -176,10 +177,10 @@
         left_s = max(0.0, live.deadline_ms - now_ms()) / 1000.0
         live.deadline_timer = self._loop.call_later(left_s, self._overdue, live)
 
-    def caller_gone(self, live: Live) -> None:
+    def abandon(self, live: Live, why: str = "left by its caller") -> None:
         """Nobody waits any more."""
         if self._drop(live):
-            self._trace(live, "left by its caller")
+            self._trace(live, why)
             self._handle(api.ClientGone(live.id))
 
     def _drop(self, live: Live) -> bool:
@@ -265,7 +266,7 @@
     def _send(self, action: api.Send) -> None:
         live, server, sent_ms = self._live.get(action.id), action.server, now_ms()
         if live is not None and live.requester.gone():
-            self.caller_gone(live)
+            self.abandon(live)
             live = None
         if live is None or server not in self._in_service:
             number = live.attempts if live is not None else 0
@@ -277,7 +278,7 @@
 
         def may_send() -> bool:
             if live.requester.gone():
-                self.caller_gone(live)
+                self.abandon(live)
             return action.id in self._live and server in self._in_service
 
         def ended(result: Result, answer: Answer | None) -> None:
--- a/orchidferry/request_parser.py
+++ b/orchidferry/request_parser.py
@@ -74,6 +74,10 @@
             self.finished = True
             self._items.append(Rejection(Reply(status, why.encode())))
 
+    def stop(self) -> None:
+        """Read nothing more."""
+        self.finished = True
+
     # The parser's calls. An exception in one of them would count as malformed HTTP.
 
     def on_message_begin(self) -> None:
--- a/orchidferry/stages.py
+++ b/orchidferry/stages.py
@@ -19,12 +19,14 @@
     READING = "the rest of a request"
     SERVING = "an answer from the node"
     IDLE = "the next request"
+    REJECTING = "answers that are owed before the error that ends the connection"
     LEAVING = "the caller, to read what it was sent"
 
 
 LIMITS_S = {
     Stage.NEW: 2.0,  # a silent or slow caller is owed an error or a close within 3 s of connecting
     Stage.READING: 2.0,
+    Stage.REJECTING: 2.0,  # the error too is owed within 3 s
     Stage.IDLE: 10.0,  # many ask once and stay; a reconnect of one that asks again costs it little
     Stage.LEAVING: 2.0,
 }  # SERVING has none of its own: each request ends at its deadline
