Leave callers in the backlog while descriptors or memory run short

Cause: the event loop's own accept closes waiting connections when it gets EMFILE or ENFILE, so their callers are reset; the configured limit was counted by also where the system's is lower; and a file that could not be opened at SIGHUP left the old configuration in place for good.

At the most callers there may be, one whose request waits to be read does not go for another.

--- a/orchidferry/__main__.py
+++ b/orchidferry/__main__.py
@@ -14,10 +14,12 @@
 
 import uvloop
 
-from orchidferry.config import BadConfig, read_config
+from orchidferry.config import BadConfig, UnreadableConfig, read_config
 from orchidferry.node import Node
 
 LAG_EVERY_S, LAG_S = 1.0, 0.1  # how often the event loop's lag is looked at, and what is worth a line
+# What discovery tells at a new address counts as told 4 s after SIGHUP: a shortage may last this long.
+RELOAD_EVERY_S, RELOAD_TRIES = 0.1, 25
 
 log = logging.getLogger("orchidferry")
 
@@ -57,10 +59,20 @@
     return 0
 
 
-def reload(node: Node, path: str) -> None:
-    """Take the file as it is now; one that can't be used changes nothing."""
+def reload(node: Node, path: str, tries_left: int = RELOAD_TRIES) -> None:
+    """Take the file as it is now.
+
+    One that can not be used changes nothing; one that can not be read is tried again for a while.
+    """
     try:
         config = read_config(path)
+    except UnreadableConfig as problem:
+        if not tries_left:
+            return log.error("the old configuration stays: %s", problem)
+        if tries_left == RELOAD_TRIES:
+            log.warning("trying again: %s", problem)
+        asyncio.get_running_loop().call_later(RELOAD_EVERY_S, reload, node, path, tries_left - 1)
+        return
     except BadConfig as problem:
         log.error("the old configuration stays: %s", problem)
         return
--- a/orchidferry/caller.py
+++ b/orchidferry/caller.py
@@ -177,7 +177,7 @@
             self._parser.stop()
             self._queue.append(Rejection(Reply(408, b"the request took too long to come")))
             self._fail_owed()
-        elif not self._unread():  # else a request crosses the limit: closed over it, it would be reset
+        elif not self.unread():  # else a request crosses the limit: closed over it, it would be reset
             self._closing = True
             self._transport.close()
             self._settle()
@@ -250,7 +250,7 @@
         if self._busy:  # it may have been answered at once
             self._taken = taken
 
-    def _unread(self) -> bool:
+    def unread(self) -> bool:
         """Whether it has sent something, or its end, that the loop has yet to read and will."""
         reads = not (self._read_paused or self._ended or self._transport.is_closing())
         return reads and self._polled(select.POLLIN)
--- a/orchidferry/config.py
+++ b/orchidferry/config.py
@@ -32,6 +32,10 @@
     """A configuration that no node can be started with."""
 
 
+class UnreadableConfig(BadConfig):
+    """A configuration whose file can't be opened or read now; later it may be."""
+
+
 @dataclass(slots=True)
 class Listing:
     """A list of servers, or the part of it that changed."""
@@ -113,7 +117,7 @@
         with open(path, encoding="utf-8") as file:
             obj = json.load(file)
     except OSError as problem:
-        raise BadConfig(f"can't read the configuration: {problem}") from None
+        raise UnreadableConfig(f"can't read the configuration: {problem}") from None
     except (ValueError, RecursionError) as problem:
         raise BadConfig(f"{path}: not JSON: {problem!s:.100}") from None
     if not isinstance(obj, dict):
--- a/orchidferry/frontend.py
+++ b/orchidferry/frontend.py
@@ -3,19 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import socket
+import itertools
 from collections.abc import Callable
 
 from nickelbridge import interface as api
 from orchidferry.caller import CallerConnection, Requester, TakenRequest
 from orchidferry.config import Address
+from orchidferry.listener import Listener
 from orchidferry.reply import Reply
 from orchidferry.request import Message
 from orchidferry.stages import Stage, StageTable
 
-BACKLOG = 1024
 SWEEP_S = 0.2  # how often stages are looked at; limits are late by so much at most
+MOST_POLLED = 32  # connections asked whether they can go, for each new one
 READY_PATH = b"/-/ready"
 
 Accept = Callable[[Message, Requester], TakenRequest]
@@ -30,8 +30,7 @@
         self.classes = classes
         self._accept, self._ready, self._most = accept, ready, most
         self.connections: StageTable[CallerConnection] = StageTable()
-        self._server: asyncio.Server | None = None
-        self._socket: socket.socket
+        self._listener: Listener | None = None
         self._loop: asyncio.AbstractEventLoop
         self._leaving = self._closing = False
         self._empty = asyncio.Event()
@@ -39,19 +38,14 @@
     async def listen(self, loop: asyncio.AbstractEventLoop, address: Address) -> Address:
         """Accept callers from now on; the address, with the port that port 0 stands for."""
         self._loop = loop
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        self._socket = socket.create_server(address, family=family, backlog=BACKLOG)
-        self._socket.setblocking(False)
-        self._server = await loop.create_server(
-            lambda: CallerConnection(self), sock=self._socket, backlog=BACKLOG
-        )
+        self._listener = Listener(loop, address, lambda: CallerConnection(self))
         self._sweep()
-        host, port = self._socket.getsockname()[:2]
-        return host, port
+        return self._listener.address
 
     def count(self) -> int:
-        """Callers' connections that are open."""
-        return len(self.connections)
+        """Callers' connections that are open, and those that are about to be."""
+        opening = self._listener.opening if self._listener is not None else 0
+        return len(self.connections) + opening
 
     def accept(self, message: Message, requester: Requester) -> TakenRequest:
         """Have the node take a request."""
@@ -65,12 +59,16 @@
         return Reply(200, b"ready") if self._ready() and not self._leaving else Reply(500, b"not ready")
 
     def opened(self, connection: CallerConnection) -> None:
-        """Count a caller in; at the most there may be, one that is owed nothing goes for it."""
+        """Count a caller in; at the most there may be, one that is owed nothing goes for it.
+
+        Not one whose request waits to be read: many may have connected within one turn of the loop.
+        """
         self.connections.enter(connection, Stage.NEW, self._loop.time())
         if self._closing:
             connection.drain()
-        elif self.count() > self._most:
-            others = (other for other in self.connections.expendable() if other is not connection)
+        elif len(self.connections) > self._most:
+            candidates = itertools.islice(self.connections.expendable(), MOST_POLLED)
+            others = (other for other in candidates if other is not connection and not other.unread())
             next(others, connection).abort()
 
     def moved(self, connection: CallerConnection, stage: Stage) -> None:
@@ -94,21 +92,9 @@
         self._leaving = True
 
     async def close_listener(self) -> None:
-        """Take no new connections; go on with those there are.
-
-        Those that the kernel has accepted and the loop has not are among them: with a request on it such a
-        connection is the node's, and closing the listener would reset it.
-        """
-        if self._server is None:
-            return
-        accepted = []
-        with contextlib.suppress(OSError):  # none is left
-            while True:
-                accepted.append(self._socket.accept()[0])
-        self._server.close()
-        for connection in accepted:
-            with contextlib.suppress(OSError):  # its caller has gone
-                await self._loop.connect_accepted_socket(lambda: CallerConnection(self), connection)
+        """Take no new connections; go on with those there are."""
+        if self._listener is not None:
+            await self._listener.close()
 
     async def drain(self) -> None:
         """Close what is idle; wait until all that is owed has been answered."""
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -10,6 +10,7 @@
 import dataclasses
 import logging
 import math
+import resource
 from collections import deque
 
 from nickelbridge import interface as api
@@ -79,12 +80,19 @@
     return b"".join((*parts, b"\r\n", message.body))
 
 
+def usable_descriptors(configured: int) -> int:
+    """How many descriptors the process may hold: the least of what is configured and the system's limit."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return configured if limit == resource.RLIM_INFINITY else min(configured, limit)
+
+
 class Node:
     """One balancing node."""
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
         self._config, self._loop = config, loop
         settings = config.settings
+        self._descriptors = usable_descriptors(config.sockets)
         self._balancer = Balancer(settings, config.seed)
         self._events: deque[api.Event] = deque()
         self._handling = False
@@ -102,7 +110,7 @@
         self._asked = False  # the first call to discovery has ended
         self.frontend = Frontend(
             self._balancer.classes, self.accept, lambda: bool(self._in_service),
-            int(CALLERS_SHARE * config.sockets),
+            int(CALLERS_SHARE * self._descriptors),
         )  # fmt: skip
         self._traces = Bucket(TRACES_PER_S, now_ms())
         self._longest_ms = min(LONGEST_MS, max(cls.deadline_ms for cls in settings.classes))
@@ -152,7 +160,7 @@
         self._discovery.close()
 
     def _room(self) -> int:
-        return self._config.sockets - SPARE_SOCKETS - self.frontend.count() - self._upstream.count()
+        return self._descriptors - SPARE_SOCKETS - self.frontend.count() - self._upstream.count()
 
     # Requests
 
--- a/tests/test_accept.py
+++ b/tests/test_accept.py
@@ -3,12 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import json
 import os
 import resource
+import signal
 import socket
 from pathlib import Path
+from typing import cast
 
-from tests.peers import LIMIT_S, Server, request, run, until, world
+import pytest
+
+from tests.peers import LIMIT_S, Registry, Server, request, run, until, world
 from tests.test_node import Program
 
 SHORTAGE_S = 0.5
@@ -50,3 +56,79 @@
                 caller.close()
 
     run(test())
+
+
+class FailingSocket:
+    """A listening socket whose next calls of `accept` fail with these errors."""
+
+    def __init__(self, real: socket.socket, *errors: int) -> None:
+        self._real, self.errors = real, list(errors)
+
+    def accept(self) -> tuple[socket.socket, object]:
+        if self.errors:
+            raise OSError(self.errors.pop(0), "forced")
+        return self._real.accept()
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self._real, name)
+
+
+ERRORS = (
+    errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.ECONNABORTED, errno.EPROTO, errno.EPERM,
+    errno.ENETDOWN, errno.EHOSTUNREACH, errno.ETIMEDOUT,
+)  # fmt: skip
+
+
+@pytest.mark.parametrize("error", ERRORS, ids=[errno.errorcode[number] for number in ERRORS])
+def test_a_failure_to_accept_keeps_nobody_from_being_served(error: int, tmp_path: Path) -> None:
+    async def test() -> None:
+        async with world(tmp_path, Server()) as scene:
+            assert scene.node is not None
+            await until(lambda: scene.node is not None and bool(scene.node._in_service))
+            listener = scene.node.frontend._listener
+            assert listener is not None
+            failing = FailingSocket(listener._socket, error, error)
+            listener._socket = cast(socket.socket, failing)
+            assert (await scene.ask("a")).status == 200
+            assert not failing.errors
+            assert (await scene.ask("b")).status == 200
+
+    run(test())
+
+
+def test_a_new_configuration_is_taken_once_its_file_can_be_opened(tmp_path: Path) -> None:
+    """Read in a shortage of descriptors it could not be opened, and the old address stayed for good."""
+
+    async def test() -> None:
+        moved = Registry()
+        await moved.start()
+        async with world(tmp_path, Server(), start=False) as scene:
+            program = await Program.start(scene)
+            pid = program.process.pid
+            await until(lambda: scene.registry.watches() > 0)
+            scene.path.write_text(json.dumps(scene.config | {"discovery": moved.address}))
+            limit_descriptors(pid, lowest_free_descriptor(pid))
+            program.process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(SHORTAGE_S)
+            limit_descriptors(pid, 1024)
+            await until(lambda: bool(moved.seen))
+        await moved.stop()
+
+    run(test())
+
+
+def test_a_system_limit_below_the_configured_one_holds(tmp_path: Path) -> None:
+    """The configured one alone was counted by, and the table ran full."""
+    limit = 128
+
+    async def test() -> None:
+        async with world(tmp_path, Server(), start=False) as scene:
+            program = await Program.start(scene, descriptors=limit)
+            await until(lambda: scene.registry.watches() > 0)
+            idle = [socket.create_connection(scene.address, LIMIT_S) for _ in range(limit)]
+            assert (await scene.ask("a")).status == 200
+            assert len(os.listdir(f"/proc/{program.process.pid}/fd")) < limit - 10
+            for caller in idle:
+                caller.close()
+
+    run(test())
