--- a/tests/peers.py
+++ b/tests/peers.py
@@ -251,6 +251,13 @@
         return await (await self.caller()).ask(*args, **kwargs)
 
 
+def free_port() -> int:
+    """A port of 127.0.0.1 that is free for now."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        port: int = listener.getsockname()[1]
+    return port
+
+
 def settings(**changes: Any) -> dict[str, Any]:
     """Start-up settings; a dictionary among the changes is merged into the part of that name."""
     env: dict[str, Any] = json.loads(json.dumps(ENV))
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import json
 import signal
 import socket
+import time
 from pathlib import Path
 
 import pytest
 
 from orchidferry import discovery
 from orchidferry.config import Listing
-from tests.peers import HANG, LIMIT_S, Registry, Server, World, request, run, until, world
+from tests.peers import HANG, LIMIT_S, Registry, Seen, Server, World, request, run, until, world
 from tests.test_node import Program
 
 
@@ -98,6 +100,42 @@
     run(test())
 
 
+SLOW_S = 0.5  # in which discovery answers
+RELOAD_EVERY_S = 0.2
+
+
+class SlowRegistry(Registry):
+    """Discovery that answers each call after a while."""
+
+    async def script(self, message: Seen) -> bytes:
+        await asyncio.sleep(SLOW_S)
+        return await super().script(message)
+
+
+def test_reloads_in_quick_succession_do_not_keep_a_change_from_being_heard(tmp_path: Path) -> None:
+    """Each dropped the call that was out: with 0.5 s for an answer none came as long as signals did."""
+
+    async def test() -> None:
+        server, new = Server(name="old"), Server(name="new")
+        source = SlowRegistry()
+        await new.start()
+        await source.start()
+        async with world(tmp_path, server) as scene:
+            assert scene.node is not None
+            node, (host, _, port) = scene.node, source.address.rpartition(":")
+            source.whole = [server.entry(), new.entry()]
+            await until(lambda: len(node._in_service) == 1)
+            began_s = time.monotonic()
+            while len(node._in_service) == 1:
+                assert time.monotonic() - began_s < 5 * SLOW_S
+                node.reconfigure(dataclasses.replace(node._config, discovery=(host, int(port))))
+                await asyncio.sleep(RELOAD_EVERY_S)
+        await new.stop()
+        await source.stop()
+
+    run(test())
+
+
 def test_what_the_old_address_still_says_is_not_heard(tmp_path: Path) -> None:
     async def test() -> None:
         server, ghost = Server(), Server(name="ghost")
--- a/tests/test_slow_lists.py
+++ b/tests/test_slow_lists.py
@@ -6,7 +6,7 @@
 import json
 from pathlib import Path
 
-from tests.peers import Registry, Seen, Server, run, until, world
+from tests.peers import CLOSE, Registry, Seen, Server, run, until, world
 
 PIECES = 15
 PIECE_EVERY_S = 0.1
@@ -35,6 +35,13 @@
         return data[PIECES * size :]
 
 
+def close_framed(data: bytes) -> bytes:
+    """An answer without the header that tells its length."""
+    head, _, body = data.partition(b"\r\n\r\n")
+    lines = [line for line in head.split(b"\r\n") if not line.lower().startswith(b"content-length")]
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
 def test_a_whole_list_that_comes_in_pieces_for_longer_than_a_call_may_be_silent_is_taken(
     tmp_path: Path,
 ) -> None:
@@ -52,3 +59,20 @@
         await source.stop()
 
     run(test())
+
+
+def test_a_whole_list_with_no_length_ends_with_its_connection(tmp_path: Path) -> None:
+    """It was never read, and the node never ready."""
+
+    async def test() -> None:
+        server, source = Server(), Registry()
+        await source.start()
+        async with world(tmp_path, server, start=False, known=False) as scene:
+            source.spoil = [close_framed(source.listing([server.entry()], True)) + CLOSE]
+            scene.path.write_text(json.dumps(scene.config | {"discovery": source.address}))
+            await scene.begin()
+            await until(lambda: source.watches() > 0)
+            assert scene.node is not None and scene.node._in_service
+        await source.stop()
+
+    run(test())
