Give a call to discovery up for silence, not for a long list that is still coming

Cause: each call had 1 s (a watch 1.3 s) from its start to its last byte, so a whole list that takes 1.5 s was cut each time and the node never got ready.

Change: the limit holds until the answer begins; from then on a call ends after 1 s without a byte, or after 15 s in all.

--- /dev/null
+++ b/orchidferry/agent_link.py
@@ -0,0 +1,173 @@
+"""Calls to one agent of discovery, one at a time, on a connection that is kept between them."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Protocol, cast
+
+import httptools
+
+from orchidferry.config import Address
+
+CONNECT_S = 0.5  # for a connection to come up; a cut link would use up the whole of a call's time
+SILENCE_S = 1.0  # an answer that has begun is waited for as long as more of it comes within this
+LONGEST_ANSWER_S = 15.0  # from the call to its end, however steadily it comes: two fit into a start
+MAX_ANSWER = 8 * 1024 * 1024  # bytes
+
+
+class LinkOwner(Protocol):
+    """Whoever makes the calls."""
+
+    def answered(self, link: AgentLink, status: int, body: bytes) -> None:
+        """A call has its whole answer; the next may be made."""
+
+    def failed(self, link: AgentLink, why: str) -> None:
+        """A call has failed; the next may be made."""
+
+
+class _Connection(asyncio.Protocol):
+    """A connection to an agent; tells its link of bytes, whole answers and its end."""
+
+    def __init__(self, link: AgentLink) -> None:
+        self._link = link
+        self.transport: asyncio.Transport | None = None
+        self._start_answer()
+
+    def _start_answer(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._body: list[bytes] = []
+        self._size = 0
+        self._complete = self.keep_alive = False
+
+    def ask(self, request: bytes) -> None:
+        """Write a request; what comes from now on is its answer."""
+        self._start_answer()
+        assert self.transport is not None
+        self.transport.write(request)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's is none by class
+
+    def data_received(self, data: bytes) -> None:
+        self._size += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            return self._link.broken(self, "an answer that can't be read")
+        if self._complete:
+            self._answered()
+        elif self._size > MAX_ANSWER:
+            self._link.broken(self, "an answer without end")
+        else:
+            self._link.progressed(self)
+
+    def _answered(self) -> None:
+        self._link.complete(self, self._parser.get_status_code(), b"".join(self._body))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._link.broken(self, "the connection broke")
+
+    # The parser's calls
+
+    def on_body(self, body: bytes) -> None:
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        self._complete, self.keep_alive = True, self._parser.should_keep_alive()
+
+
+class AgentLink:
+    """Calls to the agent at one address."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, owner: LinkOwner) -> None:
+        self.address = address
+        self._loop, self._owner = loop, owner
+        self._connection: _Connection | None = None
+        self._dial: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._began_s = self._heard_s = 0.0  # the call, and the last of its answer so far; 0.0: nothing
+        self.busy = False  # a call is out
+
+    def call(self, target: str, limit_s: float) -> None:
+        """Make a call, whose answer has to begin within `limit_s`; its owner is told how it ends."""
+        request = f"GET {target} HTTP/1.1\r\nHost: {self.address[0]}:{self.address[1]}\r\n\r\n".encode()
+        self.busy, self._began_s, self._heard_s = True, self._loop.time(), 0.0
+        # A cut link says nothing, not even on TCP: without this the call would wait for ever.
+        self._timer = self._loop.call_later(limit_s, self._check_progress)
+        if self._connection is not None:
+            self._connection.ask(request)
+        else:
+            self._dial = self._loop.create_task(self._connect(request))
+
+    async def _connect(self, request: bytes) -> None:
+        task, connection = self._dial, _Connection(self)
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                await self._loop.create_connection(lambda: connection, *self.address)
+        except OSError as problem:  # the time-out is one too
+            if self._dial is task:
+                self._fail(f"can't connect: {problem or 'no answer'}")
+            return
+        finally:
+            # Called off, or late: what came up all the same belongs to nobody.
+            if self._dial is not task and connection.transport is not None:
+                connection.transport.abort()
+        if self._dial is task:
+            self._connection, self._dial = connection, None
+            connection.ask(request)
+
+    def progressed(self, connection: _Connection) -> None:
+        """More of an answer has come."""
+        if not self.busy:
+            self.broken(connection, "an answer that nobody asked for")
+        elif connection is self._connection:
+            self._heard_s = self._loop.time()
+
+    def _check_progress(self) -> None:
+        """Give the call up, unless its answer is still coming."""
+        now_s = self._loop.time()
+        due_s = min(self._heard_s + SILENCE_S, self._began_s + LONGEST_ANSWER_S)
+        if now_s < due_s:
+            self._timer = self._loop.call_later(due_s - now_s, self._check_progress)
+        else:
+            self._fail("the answer stopped coming" if self._heard_s else "no answer in time")
+
+    def complete(self, connection: _Connection, status: int, body: bytes) -> None:
+        """A whole answer has come."""
+        if connection is not self._connection or not self.busy:
+            return self.broken(connection, "an answer that nobody asked for")
+        self._end_call()
+        if not connection.keep_alive:
+            self._drop()
+        self._owner.answered(self, status, body)
+
+    def broken(self, connection: _Connection, why: str) -> None:
+        """A connection is of no further use; a failure if a call was out on it."""
+        if connection is not self._connection:
+            return
+        if self.busy:
+            self._fail(why)
+        else:
+            self._drop()
+
+    def _fail(self, why: str) -> None:
+        self.close()
+        self._owner.failed(self, why)
+
+    def _end_call(self) -> None:
+        self.busy = False
+        dial, self._dial = self._dial, None
+        if dial is not None:
+            dial.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _drop(self) -> None:
+        connection, self._connection = self._connection, None
+        if connection is not None and connection.transport is not None:
+            connection.transport.abort()
+
+    def close(self) -> None:
+        """End the call that is out, unheard, and its connection."""
+        self._end_call()
+        self._drop()
--- a/tests/test_slow_lists.py
+++ b/tests/test_slow_lists.py
@@ -6,6 +6,9 @@
 import json
 from pathlib import Path
 
+import pytest
+
+from orchidferry import agent_link
 from tests.peers import CLOSE, Registry, Seen, Server, run, until, world
 
 PIECES = 15
@@ -76,3 +79,25 @@
         await source.stop()
 
     run(test())
+
+
+def test_an_answer_that_trickles_without_end_is_given_up(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(agent_link, "LONGEST_ANSWER_S", 1.5)
+
+    async def test() -> None:
+        server, source = Server(), SlowRegistry()
+        await source.start()
+        async with world(tmp_path, server) as scene:
+            await until(lambda: scene.registry.watches() > 0)
+            assert scene.node is not None
+            source.whole = [server.entry(name=f"s{n}" + "x" * 200) for n in range(50)]
+            monkeypatch.setattr("tests.test_slow_lists.PIECES", 1000)
+            host, _, port = source.address.rpartition(":")
+            scene.node._discovery.move((host, int(port)))
+            await until(lambda: source.connections == 2)
+            assert (await scene.ask("a")).status == 200  # by the list as it was
+        await source.stop()
+
+    run(test())
