Read discovery's lists in every framing: until its orderly close, behind interim answers

Cause: an answer counted as whole only where the parser said so, which it never does for one that ends with the connection; and an interim answer counted as the answer.

Change: the connection's orderly end completes an answer with neither length nor chunks, a reset fails it; answers of 100 to 199 are passed over.

Measured: with a list that discovery's close ends the node was never ready; five framings and a reset are tested.

--- a/orchidferry/agent_link.py
+++ b/orchidferry/agent_link.py
@@ -37,6 +37,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._body: list[bytes] = []
         self._size = 0
+        self._in_body = False
+        self._framed = False  # a header tells where the body ends
         self._complete = self.keep_alive = False
 
     def ask(self, request: bytes) -> None:
@@ -64,6 +66,12 @@
     def _answered(self) -> None:
         self._link.complete(self, self._parser.get_status_code(), b"".join(self._body))
 
+    def eof_received(self) -> None:
+        """The agent's orderly end, which ends an answer with no length; a reset never gets here."""
+        if self._in_body and not self._framed and not self._complete:
+            self._complete = True
+            self._answered()
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._link.broken(self, "the connection broke")
 
@@ -72,7 +80,16 @@
     def on_body(self, body: bytes) -> None:
         self._body.append(body)
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._framed = self._framed or name.lower() in (b"content-length", b"transfer-encoding")
+
+    def on_headers_complete(self) -> None:
+        self._in_body = True
+
     def on_message_complete(self) -> None:
+        if 100 <= self._parser.get_status_code() < 200:  # an interim answer: the real one follows
+            self._in_body = self._framed = False
+            return
         self._complete, self.keep_alive = True, self._parser.should_keep_alive()
 
 
--- a/tests/test_slow_lists.py
+++ b/tests/test_slow_lists.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
 
 from orchidferry import agent_link
-from tests.peers import CLOSE, Registry, Seen, Server, run, until, world
+from tests.peers import CLOSE, RESET, Registry, Seen, Server, run, until, world
 
 PIECES = 15
 PIECE_EVERY_S = 0.1
@@ -101,3 +102,53 @@
         await source.stop()
 
     run(test())
+
+
+def chunked(data: bytes) -> bytes:
+    head, _, body = close_framed(data).partition(b"\r\n\r\n")
+    pieces = [body[start : start + 100] for start in range(0, len(body), 100)]
+    chunks = b"".join(b"%x\r\n%b\r\n" % (len(piece), piece) for piece in pieces)
+    return head + b"\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n"
+
+
+INTERIM = b"HTTP/1.1 103 Early\r\nLink: x\r\n\r\n"
+FRAMINGS: dict[str, Callable[[bytes], bytes]] = {
+    "chunks": chunked,
+    "interim answers first": lambda data: INTERIM + INTERIM + data,
+    "an interim answer, then no length": lambda data: INTERIM + close_framed(data) + CLOSE,
+    "a length and a close": lambda data: data + CLOSE,
+    "HTTP/1.0 without a length": lambda data: close_framed(data).replace(b"HTTP/1.1", b"HTTP/1.0") + CLOSE,
+}
+
+
+@pytest.mark.parametrize("frame", FRAMINGS.values(), ids=FRAMINGS.keys())
+def test_lists_are_read_in_every_framing(frame: Callable[[bytes], bytes], tmp_path: Path) -> None:
+    async def test() -> None:
+        server, source = Server(), Registry()
+        await source.start()
+        async with world(tmp_path, server, start=False, known=False) as scene:
+            source.spoil = [frame(source.listing([server.entry()], True))]
+            scene.path.write_text(json.dumps(scene.config | {"discovery": source.address}))
+            await scene.begin()
+            await until(lambda: source.watches() > 0)
+            assert scene.node is not None and scene.node._in_service
+        await source.stop()
+
+    run(test())
+
+
+def test_a_reset_in_the_midst_of_a_list_with_no_length_is_no_end(tmp_path: Path) -> None:
+    """What came before it is a whole list by itself."""
+
+    async def test() -> None:
+        server, source = Server(), Registry()
+        await source.start()
+        async with world(tmp_path, server, start=False, known=False) as scene:
+            source.spoil = [close_framed(source.listing([server.entry()], True)) + RESET]
+            scene.path.write_text(json.dumps(scene.config | {"discovery": source.address}))
+            await scene.begin()
+            await until(lambda: len(source.seen) >= 2)
+            assert [seen.target for seen in source.seen[:2]] == ["/api/targets"] * 2
+        await source.stop()
+
+    run(test())
