Let a call to discovery go on that a reload or its own lateness has overtaken

Cause: move() ended the call that was out at each SIGHUP, also for the same address, and a call whose answer began after its time was dropped; with answers that take longer than the gap between signals, or than 1 s, no news ever came.

Change: a configuration that names the same address leaves the call alone; an overtaken call is heard until the call that overtook it is answered, four at most and 5 s at most. Changes are applied only to the list of the agent that tells them.

--- a/orchidferry/agent_link.py
+++ b/orchidferry/agent_link.py
@@ -24,6 +24,9 @@
     def failed(self, link: AgentLink, why: str) -> None:
         """A call has failed; the next may be made."""
 
+    def late(self, link: AgentLink) -> None:
+        """Nothing of an answer has come in the call's time; it may still come."""
+
 
 class _Connection(asyncio.Protocol):
     """A connection to an agent; tells its link of bytes, whole answers and its end."""
@@ -104,11 +107,17 @@
         self._timer: asyncio.TimerHandle | None = None
         self._began_s = self._heard_s = 0.0  # the call, and the last of its answer so far; 0.0: nothing
         self.busy = False  # a call is out
+        self.late = False  # its time is over, and nothing of an answer has come
+        self.index = 0  # the version of the list as this agent told it last
+        # The next call asks for the whole list. The first does: versions need not be those that another agent
+        # or an earlier process heard, and unlike a watch it is answered at once where nothing has changed.
+        self.whole = True
 
     def call(self, target: str, limit_s: float) -> None:
-        """Make a call, whose answer has to begin within `limit_s`; its owner is told how it ends."""
+        """Make a call; its owner is told how it ends, and if its answer has not begun within `limit_s`."""
         request = f"GET {target} HTTP/1.1\r\nHost: {self.address[0]}:{self.address[1]}\r\n\r\n".encode()
-        self.busy, self._began_s, self._heard_s = True, self._loop.time(), 0.0
+        self.busy, self.late = True, False
+        self._began_s, self._heard_s = self._loop.time(), 0.0
         # A cut link says nothing, not even on TCP: without this the call would wait for ever.
         self._timer = self._loop.call_later(limit_s, self._check_progress)
         if self._connection is not None:
@@ -141,13 +150,19 @@
             self._heard_s = self._loop.time()
 
     def _check_progress(self) -> None:
-        """Give the call up, unless its answer is still coming."""
+        """Give the call up if its answer has stopped coming; say so if none has begun."""
         now_s = self._loop.time()
+        if not self._heard_s:
+            self._timer = self._loop.call_later(SILENCE_S, self._check_progress)
+            if not self.late:
+                self.late = True
+                self._owner.late(self)
+            return
         due_s = min(self._heard_s + SILENCE_S, self._began_s + LONGEST_ANSWER_S)
         if now_s < due_s:
             self._timer = self._loop.call_later(due_s - now_s, self._check_progress)
         else:
-            self._fail("the answer stopped coming" if self._heard_s else "no answer in time")
+            self._fail("the answer stopped coming")
 
     def complete(self, connection: _Connection, status: int, body: bytes) -> None:
         """A whole answer has come."""
--- a/orchidferry/discovery.py
+++ b/orchidferry/discovery.py
@@ -1,6 +1,9 @@
 """Discovery: the list of servers, kept up to date by a watch.
 
-One call is out at a time. When a call fails the node is told, and it says when to ask again.
+One call is out at a time, beside earlier ones that have been overtaken: a reload names another agent, or an
+answer is late. What these still say is taken until the call that overtook them is answered, so that neither
+reloads in quick succession nor a slow agent keep news away. When a call fails the node is told, and it says
+when to ask again.
 """
 
 from __future__ import annotations
@@ -25,6 +28,8 @@
 # Whatever becomes of calls, news counts as told 6 s after discovery had it and could be reached. So many in a
 # row may fail then, each in the way that takes longest.
 FAILURES_BORNE = 3
+# Calls that a reload or their own silence has overtaken: so many may still be answered, for so long.
+MOST_EARLIER, EARLIER_S = 4, 5.0
 
 
 def longest_news_ms(pause_ms: float) -> float:
@@ -49,11 +54,8 @@
     ) -> None:
         self._loop, self._news = loop, news
         self._link = AgentLink(loop, address, self)
-        self._index = 0
+        self._earlier: list[AgentLink] = []  # overtaken, the oldest first
         self._heard_ms = -math.inf  # when the last good answer came
-        # The next call asks for the whole list. The first does: versions need not be those that an earlier
-        # process heard, and unlike a watch it is answered at once also where nothing has changed.
-        self._whole = True
         self._closed = False
 
     def subscribe(self) -> None:
@@ -62,29 +64,60 @@
             self._ask()
 
     def move(self, address: Address) -> None:
-        """Ask at another address from now on, for the whole list first.
+        """Ask at this address from now on; where it is another one, for the whole list first.
 
-        Versions there need not be those of the old address, and what the old one had still to say is
-        never heard: its call ends here.
+        Versions there need not be those of the old address, whose call counts as overtaken.
         """
-        if not self._closed:
-            self._link.close()
-            self._link, self._whole = AgentLink(self._loop, address, self), True
-            self._ask()
+        if self._closed or (address == self._link.address and self._link.busy):
+            return
+        if address != self._link.address:
+            self._overtake()
+            returned = [link for link in self._earlier if link.address == address and not link.late]
+            if returned:  # its call goes on
+                self._earlier.remove(returned[0])
+                self._link = returned[0]
+                return
+            self._link = AgentLink(self._loop, address, self)
+        self._ask()
 
     def close(self) -> None:
         """Stop for good."""
         self._closed = True
         self._link.close()
+        self._end_earlier()
+
+    def _overtake(self) -> None:
+        """Let the call that is out go on beside the next one, for a while."""
+        link = self._link
+        if not link.busy:
+            return link.close()
+        if len(self._earlier) >= MOST_EARLIER:  # the newest goes: the oldest is the next to be answered
+            self._earlier.pop().close()
+        self._earlier.append(link)
+        self._loop.call_later(EARLIER_S, self._forget, link)
+
+    def _forget(self, link: AgentLink) -> None:
+        if link in self._earlier:
+            self._earlier.remove(link)
+            link.close()
+
+    def _end_earlier(self) -> None:
+        for link in self._earlier:
+            link.close()
+        self._earlier.clear()
 
     def _ask(self) -> None:
-        query = "" if self._whole else f"?index={self._index}&wait={WATCH_MS}"
-        limit_ms = CALL_MS if self._whole else WATCH_MS + GRACE_MS
-        self._link.call(f"/api/targets{query}", limit_ms / 1000.0)
+        link = self._link
+        query = "" if link.whole else f"?index={link.index}&wait={WATCH_MS}"
+        limit_ms = CALL_MS if link.whole else WATCH_MS + GRACE_MS
+        link.call(f"/api/targets{query}", limit_ms / 1000.0)
 
     def failed(self, link: AgentLink, why: str) -> None:
         """A call has failed: the node says when to make another."""
-        self._news(None, why)
+        if link is self._link:
+            self._news(None, why)
+        else:
+            self._forget(link)
 
     def answered(self, link: AgentLink, status: int, body: bytes) -> None:
         """Take an answer, and ask for what comes next before it is worked through."""
@@ -97,16 +130,44 @@
             listing = read_listing(obj)
         except (ValueError, RecursionError, Malformed) as problem:
             return self._unusable(link, f"a list that can't be read: {problem!s:.100}")
-        if not listing.whole and (self._whole or listing.index < self._index):
-            self._whole = True  # changes to a list that we don't hold
-            return self._ask()
-        self._index, self._whole = listing.index, False
+        if link.address == self._link.address and (listing.whole or listing.entries):
+            self._restore(link)  # what the other would have told comes by version
+        current = link is self._link
+        if not listing.whole and (link.whole or listing.index < link.index):
+            link.whole = True  # changes to a list that we don't hold
+            return self._ask() if current else self._forget(link)
+        link.index, link.whole = listing.index, False
         listing.previous_ms, self._heard_ms = self._heard_ms, now_ms()
-        # A watch goes on only if the next call comes within 200 ms.
-        self._ask()
+        if current:
+            self._end_earlier()
+            self._ask()  # a watch goes on only if the next call comes within 200 ms
+        else:
+            self._forget(link)
+            if listing.whole:  # the changes that other watches would tell are to the list that this replaces
+                self._link.whole = True
+                self._end_watches()
         if listing.whole or listing.entries:
             self._news(listing, "")
 
+    def _restore(self, link: AgentLink) -> None:
+        """Go on with a link whose answer has come, late or not, in place of the one that overtook it."""
+        if link is not self._link:
+            self._link.close()
+            self._earlier.remove(link)
+            self._link = link
+
+    def late(self, link: AgentLink) -> None:
+        """A call's time is over: it goes on beside the next one, which the node says when to make."""
+        if link is self._link:
+            self._overtake()
+            self._link = AgentLink(self._loop, link.address, self)
+            self._link.index, self._link.whole = link.index, link.whole
+            self._news(None, "no answer in time")
+
+    def _end_watches(self) -> None:
+        for link in [link for link in self._earlier if not link.whole]:
+            self._forget(link)
+
     def _unusable(self, link: AgentLink, why: str) -> None:
         link.close()
         self.failed(link, why)
--- a/tests/test_slow_lists.py
+++ b/tests/test_slow_lists.py
@@ -14,6 +14,7 @@
 
 PIECES = 15
 PIECE_EVERY_S = 0.1
+LATE_S = 1.7
 
 
 class SlowRegistry(Registry):
@@ -111,6 +112,35 @@
     return head + b"\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n"
 
 
+class LateRegistry(Registry):
+    """Discovery that answers each call well after its time."""
+
+    async def script(self, message: Seen) -> bytes:
+        await asyncio.sleep(LATE_S)
+        return await super().script(message)
+
+
+def test_answers_that_begin_after_a_call_s_time_are_taken_and_watched_on_from(tmp_path: Path) -> None:
+    """Each call was given up, and the node was never ready."""
+
+    async def test() -> None:
+        server, new, source = Server(), Server(name="new"), LateRegistry()
+        await source.start()
+        await new.start()
+        async with world(tmp_path, server, start=False, known=False) as scene:
+            source.whole = [server.entry()]
+            scene.path.write_text(json.dumps(scene.config | {"discovery": source.address}))
+            await scene.begin()
+            await until(lambda: scene.node is not None and len(scene.node._in_service) == 1)
+            source.tell(new.entry())
+            await until(lambda: scene.node is not None and len(scene.node._in_service) == 2)
+            assert source.connections <= 8
+        await new.stop()
+        await source.stop()
+
+    run(test())
+
+
 INTERIM = b"HTTP/1.1 103 Early\r\nLink: x\r\n\r\n"
 FRAMINGS: dict[str, Callable[[bytes], bytes]] = {
     "chunks": chunked,
