Write log lines without waiting: what can't be written at once is dropped and counted

Cause: logging wrote to standard error from the event loop; a full pipe blocked the node in its first line, and it was never ready. Where standard error was closed the first socket got its descriptor.

Change: log_output.py asks whether a line can be written, reopens a pipe without blocking where it can, and counts what it drops; descriptors 0 to 2 are open before anything else is. Messages of the start go the same way.

--- a/orchidferry/__main__.py
+++ b/orchidferry/__main__.py
@@ -15,6 +15,7 @@
 import uvloop
 
 from orchidferry.config import BadConfig, UnreadableConfig, read_config
+from orchidferry.log_output import LineWriter, open_standard_descriptors, set_up_logging
 from orchidferry.node import Node
 
 LAG_EVERY_S, LAG_S = 1.0, 0.1  # how often the event loop's lag is looked at, and what is worth a line
@@ -24,16 +25,14 @@
 log = logging.getLogger("orchidferry")
 
 
-async def run(path: str) -> int:
+async def run(path: str, writer: LineWriter) -> int:
     """Serve until SIGTERM; the exit status."""
     try:
         config = read_config(path)
     except BadConfig as problem:
-        print(f"orchidferry: {problem}", file=sys.stderr)
+        writer.write(f"orchidferry: {problem}")
         return 2
-    logging.basicConfig(
-        stream=sys.stderr, level=logging.INFO, format=f"%(asctime)s {config.name} %(levelname)s %(message)s"
-    )
+    set_up_logging(writer, config.name)
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
@@ -42,9 +41,7 @@
     try:
         host, port = await node.frontend.listen(loop, config.listen)
     except OSError as problem:
-        print(
-            f"orchidferry: can't listen on {config.listen[0]}:{config.listen[1]}: {problem}", file=sys.stderr
-        )
+        writer.write(f"orchidferry: can't listen on {config.listen[0]}:{config.listen[1]}: {problem}")
         return 2
     node.start()
     # What was made at the start lives to the end: full collections need not look at it.
@@ -91,11 +88,13 @@
 
 def main() -> int:
     """The program."""
+    open_standard_descriptors()
+    writer = LineWriter()
     path = os.environ.get("NODE_CONFIG")
     if not path:
-        print("orchidferry: NODE_CONFIG must name the configuration file", file=sys.stderr)
+        writer.write("orchidferry: NODE_CONFIG must name the configuration file")
         return 2
-    return uvloop.run(run(path))
+    return uvloop.run(run(path, writer))
 
 
 if __name__ == "__main__":
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -4,14 +4,18 @@
 
 import asyncio
 import contextlib
+import fcntl
+import logging
 import os
+import socket
 import sys
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import pytest
 
-from tests.peers import Server, World, free_port, run, until, world
+from orchidferry.log_output import LineHandler, LineWriter
+from tests.peers import LIMIT_S, RESET, Server, World, free_port, run, until, world
 from tests.test_wire import ROOT
 
 
@@ -29,13 +33,14 @@
     os.close(writer)
 
 
-async def start_with(scene: World, stderr: int) -> None:
-    """Start the program with this as its standard error; wait until it is ready."""
+async def start_with(scene: World, stderr: int | None, closed: tuple[int, ...] = ()) -> None:
+    """Start the program with this as its standard error, or these closed; wait until it hears discovery."""
     listen = f"127.0.0.1:{free_port()}"
     scene.path.write_text(scene.path.read_text().replace("127.0.0.1:0", listen))
     host, _, port = listen.rpartition(":")
+    closing = " ".join(f"{descriptor}>&-" for descriptor in closed)
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "orchidferry", cwd=ROOT, stderr=stderr,
+        "/bin/sh", "-c", f"exec {sys.executable} -m orchidferry {closing}", cwd=ROOT, stderr=stderr,
         env=os.environ | {"NODE_CONFIG": str(scene.path)},
     )  # fmt: skip
     scene.processes.append(process)
@@ -52,3 +57,109 @@
             assert (await scene.ask("a")).status == 200
 
     run(test())
+
+
+def test_a_log_that_stops_being_read_under_way_holds_nothing_up(tmp_path: Path) -> None:
+    """Nor does it when it is read again: the lines that went missing are counted."""
+
+    async def test() -> None:
+        reader, writer = os.pipe()
+        async with world(tmp_path, Server(usual=RESET), start=False) as scene:
+            await start_with(scene, writer)
+            size = fcntl.fcntl(writer, fcntl.F_GETPIPE_SZ)
+            os.set_blocking(writer, False)
+            with contextlib.suppress(BlockingIOError):
+                while True:
+                    os.write(writer, b"x" * 4096)
+            os.set_blocking(writer, True)
+            for n in range(5):
+                assert (await scene.ask(f"{n}", "pay")).status == 502  # each worth a line
+            os.read(reader, size)
+            assert (await scene.ask("after", "pay")).status == 502
+            os.set_blocking(reader, False)
+            text = b""
+            async with asyncio.timeout(10.0):
+                while b"request after" not in text:
+                    with contextlib.suppress(BlockingIOError):
+                        text += os.read(reader, size)
+                    await asyncio.sleep(0.01)
+            assert b"(5 log lines dropped)" in text
+        os.close(reader)
+        os.close(writer)
+
+    run(test())
+
+
+def closed_pipe() -> int:
+    reader, writer = os.pipe()
+    os.close(reader)
+    return writer
+
+
+def full_device() -> int:
+    return os.open("/dev/full", os.O_WRONLY)
+
+
+def full_socket() -> int:
+    """One end of a pair whose other end nobody reads."""
+    ours, theirs = socket.socketpair()
+    ours.setblocking(False)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            ours.send(b"x" * 4096)
+    ours.setblocking(True)
+    theirs.detach()
+    return ours.detach()
+
+
+@pytest.mark.parametrize("make", [closed_pipe, full_device, full_socket])
+def test_a_node_that_cannot_write_its_log_serves(make: Callable[[], int], tmp_path: Path) -> None:
+    async def test() -> None:
+        stderr = make()
+        async with world(tmp_path, Server(), start=False) as scene:
+            await start_with(scene, stderr)
+            assert (await scene.ask("a")).status == 200
+        os.close(stderr)
+
+    run(test())
+
+
+@pytest.mark.parametrize("closed", [(2,), (0, 1, 2)], ids=str)
+def test_a_node_started_without_a_log_writes_into_none_of_its_sockets(
+    closed: tuple[int, ...], tmp_path: Path
+) -> None:
+    """The first socket would get the descriptor's number, and the log's lines."""
+
+    async def test() -> None:
+        async with world(tmp_path, Server(usual=RESET), start=False) as scene:
+            await start_with(scene, None, closed)
+            caller = await scene.caller()
+            for n in range(3):
+                assert (await caller.ask(f"{n}", "pay")).status == 502
+            [process] = scene.processes
+            targets = [os.readlink(f"/proc/{process.pid}/fd/{number}") for number in closed]
+            assert targets == ["/dev/null"] * len(closed)
+
+    run(test())
+
+
+def test_a_bad_configuration_ends_a_node_whose_log_is_not_read(
+    full_pipe: tuple[int, int], tmp_path: Path
+) -> None:
+    async def test() -> None:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "orchidferry", cwd=ROOT, stderr=full_pipe[1],
+            env=os.environ | {"NODE_CONFIG": str(tmp_path / "none")},
+        )  # fmt: skip
+        assert await asyncio.wait_for(process.wait(), LIMIT_S) == 2
+
+    run(test())
+
+
+def test_a_record_that_cannot_be_formatted_is_told_as_it_is() -> None:
+    reader, writer = os.pipe()
+    handler = LineHandler(LineWriter(writer))
+    handler.emit(logging.LogRecord("x", logging.INFO, "", 0, "%d of them", ("none",), None))
+    assert b"%d of them" in os.read(reader, 1000)
+    os.close(reader)
+    os.close(writer)
