--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real nodes among stand-ins on loopback, faults by schedule, rules checked on sockets."""
