--- a/soak/callers.py
+++ b/soak/callers.py
@@ -68,11 +68,15 @@
     ).encode() + body
 
 
-async def read_answer(reader: asyncio.StreamReader) -> tuple[int, bytes]:
-    """The next answer; raises `IncompleteReadError` or `ConnectionError` where there is none."""
-    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-    length = head.lower().partition("content-length:")[2].split("\r\n")[0]
-    return int(head.split()[1]), await reader.readexactly(int(length))
+async def read_answer(reader: asyncio.StreamReader, limit_s: float) -> tuple[int, bytes]:
+    """The next answer; raises `IncompleteReadError`, `ConnectionError` or `TimeoutError` where there is none.
+
+    (`asyncio.wait_for` may swallow a cancellation that comes as the answer does.)
+    """
+    async with asyncio.timeout(limit_s):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        length = head.lower().partition("content-length:")[2].split("\r\n")[0]
+        return int(head.split()[1]), await reader.readexactly(int(length))
 
 
 class HonestCaller(CallerBase):
@@ -105,7 +109,7 @@
                 return self._oracle.caller_left(id)
             try:
                 limit_s = budget_s + ANSWER_GRACE_S + LATE_S + self._oracle.slack_s
-                status, body = await asyncio.wait_for(read_answer(reader), limit_s)
+                status, body = await read_answer(reader, limit_s)
             except TimeoutError:
                 return self._unanswered(id, "no answer, on a connection that stays open")
             except (asyncio.IncompleteReadError, ConnectionError) as problem:
@@ -120,7 +124,7 @@
             try:
                 writer.write(data)
                 self._oracle.request_resent(id)
-                status, body = await asyncio.wait_for(read_answer(reader), DEADLINE_MS / 1000.0 + LATE_S)
+                status, body = await read_answer(reader, DEADLINE_MS / 1000.0 + LATE_S)
                 return self._oracle.answered(id, status, body)
             except (TimeoutError, asyncio.IncompleteReadError, ConnectionError) as again:
                 problem = again
@@ -150,7 +154,7 @@
         for id, *_ in requests:
             try:
                 limit_s = DEADLINE_MS / 1000.0 + ANSWER_GRACE_S + LATE_S + self._oracle.slack_s
-                status, body = await asyncio.wait_for(read_answer(reader), limit_s)
+                status, body = await read_answer(reader, limit_s)
             except (TimeoutError, asyncio.IncompleteReadError, ConnectionError) as problem:
                 if self._node.killed_s < self._oracle.requests[id].sent_s - TIME_SLACK_S:
                     self._oracle.unanswered(id, f"one of many in a write: {problem!r:.60}")
@@ -177,7 +181,7 @@
         writer.write(data + b"no HTTP\r\n\r\n")
         self._oracle.request_sent(id, kind.name, self._node.number, budget_s)
         try:
-            status, body = await asyncio.wait_for(read_answer(reader), PEER_S + LATE_S + self._oracle.slack_s)
+            status, body = await read_answer(reader, PEER_S + LATE_S + self._oracle.slack_s)
             self._oracle.answered(id, status, body)
         except (TimeoutError, asyncio.IncompleteReadError, ConnectionError) as problem:
             if self._node.killed_s < self._oracle.requests[id].sent_s - TIME_SLACK_S:
@@ -195,7 +199,8 @@
         with contextlib.suppress(ConnectionError):
             writer.write(data)
         try:
-            await asyncio.wait_for(reader.read(1), PEER_S + LATE_S)
+            async with asyncio.timeout(PEER_S + LATE_S):
+                await reader.read(1)
         except TimeoutError:
             pass
         except ConnectionError:
--- a/soak/discovery.py
+++ b/soak/discovery.py
@@ -169,7 +169,8 @@
         index = int(query["index"][0]) if "index" in query else None
         if index is not None and index >= self._version:
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._news.wait(), int(query.get("wait", ["0"])[0]) / 1000.0)
+                async with asyncio.timeout(int(query.get("wait", ["0"])[0]) / 1000.0):
+                    await self._news.wait()
         while self._mode is AgentMode.SILENT:
             await asyncio.sleep(3600.0)
         if index is None:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -135,7 +135,8 @@
         process.send_signal(signal.SIGTERM)
         asyncio.get_running_loop().call_later(ACCEPT_AFTER_TERM_S, self._close_to_new)
         try:
-            await asyncio.wait_for(process.wait(), KILL_AFTER_TERM_S + self._oracle.slack_s)
+            async with asyncio.timeout(KILL_AFTER_TERM_S + self._oracle.slack_s):
+                await process.wait()
         except TimeoutError:
             # What it holds now and got in time is lost; callers tell.
             process.kill()
