--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -18,7 +18,6 @@
 TIME_SLACK_S = 0.05  # of every limit in time
 BUDGET_SLACK_S = 0.15  # by which the time that a server is told may exceed what is left
 GONE_S = 0.1  # after its caller has closed, no attempt of a request may begin
-HELD_UP_S = 0.15  # a node may be held up so long between reading its clock and writing
 ANSWER_GRACE_S = 0.5  # after its time, in which an answer earns nothing and is not lost
 PEER_S = 3.0  # in which whoever sends no proper request is owed an error or a close
 OVERLAP_CHECK_S = 0.1  # after which the end of an earlier attempt must have been seen
@@ -88,6 +87,7 @@
         self._now_s, self._active = now_s, active
         self._capacity = capacity  # of a warm server, in requests a second
         self.slack_s = 0.0
+        self.held_up_s = 0.0  # by which a fault holds nodes up between reading their clock and writing
         self.violations: list[Violation] = []
         self.requests: dict[str, RequestRecord] = {}
         self.answers: defaultdict[int, int] = defaultdict(int)  # by status
@@ -167,7 +167,7 @@
         if node is None:
             return
         told_s = self._told_away.get((node, server))
-        if told_s is not None and at_s > told_s + settings.DRAIN_GRACE_S + HELD_UP_S + self._slack():
+        if told_s is not None and at_s > told_s + settings.DRAIN_GRACE_S + self._slack():
             self.report(Rule.DRAIN, server, f"sent by node {node} {at_s - told_s:.3f} s after it was told")
 
     def attempt_arrived(self, id: str, kind: str, attempt: AttemptRecord, budget_s: float) -> None:
@@ -181,14 +181,14 @@
         request.attempts.append(attempt)
 
     def _slack(self) -> float:
-        return TIME_SLACK_S + self.slack_s
+        return TIME_SLACK_S + self.slack_s + self.held_up_s
 
     def _check_deadline(self, request: RequestRecord, attempt: AttemptRecord, budget_s: float) -> None:
         left_s = request.sent_s + request.budget_s - attempt.first_byte_s
         if budget_s > max(0.0, left_s) + BUDGET_SLACK_S + self._slack():
             self.report(Rule.DEADLINE, request.id, f"{budget_s:.3f} s stated where {left_s:.3f} s were left")
         since_s = attempt.first_byte_s - request.left_s
-        if since_s > GONE_S + HELD_UP_S + self._slack():
+        if since_s > GONE_S + self._slack():
             self.report(Rule.GONE, request.id, f"sent {since_s:.3f} s after its caller had closed")
 
     def _check_repeat(self, request: RequestRecord, attempt: AttemptRecord) -> None:
@@ -204,7 +204,7 @@
             after_s = attempt.last_byte_s - ran[0].last_byte_s
             if attempt.group != ran[0].group:
                 self.report(Rule.DUPLICATE, request.id, "keyed, and sent to another group")
-            elif after_s > settings.KEY_WINDOW_MS / 1000.0 + HELD_UP_S + self._slack():
+            elif after_s > settings.KEY_WINDOW_MS / 1000.0 + self._slack():
                 self.report(Rule.DUPLICATE, request.id, f"keyed, and sent again after {after_s:.3f} s")
 
     def check_overlap(self, attempt: AttemptRecord) -> None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -20,7 +20,7 @@
 from soak.fleet import NodeProcess, free_port
 from soak.oracle import Oracle, Rule, Violation
 from soak.proxy import ProxyMode
-from soak.schedule import SERVER_KINDS, Fault, FaultKind, Schedule
+from soak.schedule import LONGEST_S, SERVER_KINDS, Fault, FaultKind, Schedule
 from soak.servers import ServerMode, ServerStandIn
 from soak.settings import GROUPS
 from soak.shim import NS_PER_S, Field, NoCompiler, build_shim
@@ -71,6 +71,8 @@
         servers = servers_for(schedule.nodes)
         rate = schedule.nodes * CALLERS_A_NODE / (MEAN_GAP_S + ANSWER_S)
         self.oracle = Oracle(self._loop.time, self._active, rate / servers / UTILIZATION)
+        if any(fault.kind is FaultKind.NODE_PAUSE for fault in schedule.faults):
+            self.oracle.held_up_s = LONGEST_S[FaultKind.NODE_PAUSE]
         self._registry = Registry()
         self._servers = [
             ServerStandIn(self.oracle, self._registry, f"s{n}", n % GROUPS, self._rng) for n in range(servers)
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,90 @@
+"""The soak: its oracle finds what is broken, and its parts do what they say."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import pytest
+
+from soak.schedule import BadSchedule, Fault, FaultKind, Schedule, draw, read_schedule
+from soak.shrink import shrink
+from tests.broken_nodes import BROKEN_NODES, ROOT, BrokenNode
+
+SEEDS = (1, 2, 3)  # within which each broken node has to be found
+SECONDS, NODES, AT_A_TIME = 8, 4, 4
+QUICK = ROOT / "soak" / "quick.json"
+
+
+def soak(*arguments: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-m", "soak", *arguments], cwd=ROOT, capture_output=True, text=True, timeout=120
+    )
+
+
+def seed_that_finds(broken: BrokenNode, folder: Path) -> int | None:
+    """The first seed under which the soak sees the broken rule."""
+    broken.write(folder)
+    for seed in SEEDS:
+        kinds = ",".join(kind.value for kind in broken.kinds)
+        done = soak("--seed", str(seed), "--seconds", str(SECONDS), "--nodes", str(NODES),
+                    "--kinds", kinds, "--root", str(folder))  # fmt: skip
+        lines = [json.loads(line) for line in done.stdout.splitlines()]
+        if any(line.get("rule") == broken.rule.value for line in lines):
+            assert done.returncode == 1
+            return seed
+    return None
+
+
+def test_each_broken_node_is_found_by_the_rule_that_it_breaks(tmp_path: Path) -> None:
+    with ThreadPoolExecutor(AT_A_TIME) as pool:
+        folders = [tmp_path / f"{n}" for n in range(len(BROKEN_NODES))]
+        found = dict(zip((broken.name for broken in BROKEN_NODES),
+                         pool.map(seed_that_finds, BROKEN_NODES, folders), strict=True))  # fmt: skip
+    print(found)
+    assert all(found.values()), found
+
+
+def test_the_quick_schedule_passes() -> None:
+    done = soak("--schedule", str(QUICK))
+    assert done.returncode == 0, done.stdout[-2000:] + done.stderr[-2000:]
+    summary = json.loads(done.stdout.splitlines()[-1])
+    assert summary["violations"] == 0 and summary["answers"]["200"] > 1000
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [("--nodes", "0"), ("--seconds", "1"), ("--kinds", "nonsense"), ("--schedule", "/nowhere"),
+     ("--schedule", str(ROOT / "README.md"))],
+)  # fmt: skip
+def test_bad_arguments_are_told_and_status_2(arguments: tuple[str, str]) -> None:
+    done = soak(*arguments)
+    assert done.returncode == 2 and not done.stdout
+    assert done.stderr.splitlines()[-1].startswith("soak: ")
+
+
+def test_a_seed_draws_one_schedule_and_a_file_gives_it_back() -> None:
+    drawn = [draw(7, 20.0, 6, 4, frozenset(FaultKind)) for _ in range(2)]
+    assert drawn[0] == drawn[1] == read_schedule(drawn[0].to_json())
+    assert drawn[0] != draw(8, 20.0, 6, 4, frozenset(FaultKind))
+
+
+@pytest.mark.parametrize("text", ["", "[]", "{}", '{"faults": [{"kind": "nonsense"}]}'])
+def test_what_is_no_schedule_is_refused(text: str) -> None:
+    with pytest.raises(BadSchedule):
+        read_schedule(text)
+
+
+def test_a_schedule_is_cut_to_the_faults_that_break_a_rule() -> None:
+    faults = tuple(Fault(FaultKind.NODE_PAUSE, float(n), 1.0, n) for n in range(16))
+    schedule = Schedule(1, 20.0, 4, faults)
+
+    def breaks(candidate: Schedule) -> bool:
+        return {3, 11} <= {fault.target for fault in candidate.faults}
+
+    shortest, plays = shrink(schedule, breaks, 200)
+    assert [fault.target for fault in shortest.faults] == [3, 11]
+    assert plays <= 200
