--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,10 +13,10 @@
 from pathlib import Path
 
 from soak.run import Result, play, servers_for
-from soak.schedule import BadSchedule, FaultKind, Schedule, draw, read_schedule
+from soak.schedule import FAULTS_PER_S, BadSchedule, FaultKind, Schedule, draw, read_schedule
 from soak.shrink import shrink
 
-MOST_NODES, MOST_SECONDS = 40, 600.0
+MOST_NODES, MOST_SECONDS, MOST_RATE = 40, 600.0, 20.0
 SHRINK_PLAYS = 40
 
 
@@ -26,6 +26,7 @@
     parser.add_argument("--seed", type=int, default=1, help="draws the schedule (default 1)")
     parser.add_argument("--seconds", type=float, default=20.0, help=f"length, at most {MOST_SECONDS:.0f}")
     parser.add_argument("--nodes", type=int, default=10, help=f"node processes, at most {MOST_NODES}")
+    parser.add_argument("--rate", type=float, default=FAULTS_PER_S, help="faults a second")
     parser.add_argument("--kinds", help="only these kinds of fault, with commas between them")
     parser.add_argument("--schedule", type=Path, help="play this file's schedule instead of drawing one")
     parser.add_argument(
@@ -35,6 +36,8 @@
     options = parser.parse_args(arguments)
     if not 1 <= options.nodes <= MOST_NODES:
         parser.error(f"--nodes must be from 1 to {MOST_NODES}")
+    if not 0.0 <= options.rate <= MOST_RATE:
+        parser.error(f"--rate must be from 0 to {MOST_RATE:.0f}")
     if not 4.0 <= options.seconds <= MOST_SECONDS:
         parser.error(f"--seconds must be from 4 to {MOST_SECONDS:.0f}")
     return options
@@ -53,7 +56,9 @@
         known = ", ".join(kind.value for kind in FaultKind)
         raise BadSchedule(f"--kinds: {problem}; known are {known}") from None
     servers = servers_for(options.nodes)
-    return draw(options.seed, options.seconds, options.nodes, servers, kinds or frozenset(FaultKind))
+    return draw(
+        options.seed, options.seconds, options.nodes, servers, kinds or frozenset(FaultKind), options.rate
+    )
 
 
 def print_result(result: Result) -> None:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -7,7 +7,6 @@
 import json
 import os
 import signal
-import socket
 import sys
 from collections.abc import Coroutine
 from pathlib import Path
@@ -25,13 +24,6 @@
 BROKEN = "invariant broken"  # what the node's own count writes
 
 
-def free_port() -> int:
-    """A port of 127.0.0.1 that is free for now."""
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        port: int = listener.getsockname()[1]
-    return port
-
-
 class NodeProcess:
     """One node of the fleet, over all its processes."""
 
@@ -89,7 +81,7 @@
                 while not await self._ready():
                     await asyncio.sleep(0.05)
         except TimeoutError:
-            self._oracle.report(Rule.CRASH, f"n{self.view.number}", f"not ready within {READY_S:.0f} s")
+            self._report_crash(f"not ready within {READY_S:.0f} s")
         self.view.open_to_new = True
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
@@ -118,9 +110,14 @@
     async def _watch(self, process: asyncio.subprocess.Process) -> None:
         status = await process.wait()
         if process is self._process and not self._expected_end:
-            self._oracle.report(Rule.CRASH, f"n{self.view.number}", f"ended with status {status}")
+            self._report_crash(f"ended with status {status}")
             self.view.open_to_new = False
 
+    def _report_crash(self, what: str) -> None:
+        lines = self.log.read_text(errors="replace").splitlines() if self.log.exists() else []
+        last = f"; its log ends with: {lines[-1][-200:]}" if lines else ""
+        self._oracle.report(Rule.CRASH, f"n{self.view.number}", what + last)
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process, if there is one."""
         if self._process is not None and self._process.returncode is None:
@@ -143,7 +140,7 @@
             await process.wait()
         self._close_to_new()
         if process.returncode not in (0, -signal.SIGKILL):
-            self._oracle.report(Rule.CRASH, f"n{self.view.number}", f"ended with status {process.returncode}")
+            self._report_crash(f"ended with status {process.returncode}")
 
     def _close_to_new(self) -> None:
         self.view.open_to_new = False
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -32,8 +32,8 @@
 class Proxy:
     """Listens where a server is told to be, and passes bytes on to it."""
 
-    def __init__(self, oracle: Oracle, server: str, group: int) -> None:
-        self.oracle, self.server, self.group = oracle, server, group
+    def __init__(self, oracle: Oracle, server: str, group: int, host: str) -> None:
+        self.oracle, self.server, self.group, self.host = oracle, server, group, host
         self.mode = ProxyMode.GOOD
         self.upstream_port = 0
         self.attempts: dict[int, AttemptRecord] = {}  # by the port from which the proxy calls the server
@@ -46,7 +46,7 @@
         """Listen, on the same port as before if there was one."""
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
-            lambda: ProxyConnection(self), "127.0.0.1", self.port, reuse_address=True
+            lambda: ProxyConnection(self), self.host, self.port, reuse_address=True
         )
         self.port = self._listener.sockets[0].getsockname()[1]
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import errno
+import os
 import random
 import signal
 import tempfile
@@ -17,7 +18,7 @@
 
 from soak.callers import BadCaller, HonestCaller, NodeView
 from soak.discovery import Agent, AgentMode, Registry, Status
-from soak.fleet import NodeProcess, free_port
+from soak.fleet import NodeProcess
 from soak.oracle import Oracle, Rule, Violation
 from soak.proxy import ProxyMode
 from soak.schedule import LONGEST_S, SERVER_KINDS, Fault, FaultKind, Schedule
@@ -37,6 +38,7 @@
 BAD_CALLERS = 4  # at a time, for each such fault
 DRAINED_S = 1.5  # from a drain's end to the server's leave
 LEFT_S = 0.5
+LISTEN_PORT, FIRST_SERVER = 9000, 100  # of nodes and servers; the last part of the first server's address
 START_TIMEOUT_S = 60.0
 ACCEPT_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ECONNABORTED)
 LOG_ERRORS = (errno.ENOSPC, errno.EIO)
@@ -73,9 +75,19 @@
         self.oracle = Oracle(self._loop.time, self._active, rate / servers / UTILIZATION)
         if any(fault.kind is FaultKind.NODE_PAUSE for fault in schedule.faults):
             self.oracle.held_up_s = LONGEST_S[FaultKind.NODE_PAUSE]
+        # Addresses of this run's own: a port that is free during a restart may go to any connection.
+        self._network = f"127.{1 + os.getpid() // 256 % 250}.{os.getpid() % 256}"
         self._registry = Registry()
         self._servers = [
-            ServerStandIn(self.oracle, self._registry, f"s{n}", n % GROUPS, self._rng) for n in range(servers)
+            ServerStandIn(
+                self.oracle,
+                self._registry,
+                f"s{n}",
+                n % GROUPS,
+                f"{self._network}.{FIRST_SERVER + n}",
+                self._rng,
+            )
+            for n in range(servers)
         ]
         self._nodes: list[NodeProcess] = []
         self._callers: list[list[HonestCaller]] = []
@@ -136,7 +148,7 @@
             agents = [Agent(self._registry, self.oracle, number) for _ in range(2)]
             for agent in agents:
                 await agent.start()
-            view = NodeView(number, ("127.0.0.1", free_port()))
+            view = NodeView(number, (f"{self._network}.{number + 1}", LISTEN_PORT))
             self._nodes.append(
                 NodeProcess(self.oracle, view, agents, self._schedule.nodes, folder, self._root, library)
             )
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -99,13 +99,20 @@
         return [fault for fault in self.faults if fault.at_s <= at_s <= fault.at_s + fault.lasts_s]
 
 
-def draw(seed: int, seconds: float, nodes: int, servers: int, kinds: frozenset[FaultKind]) -> Schedule:
-    """A schedule of overlapping faults, the same for the same arguments."""
+def draw(
+    seed: int,
+    seconds: float,
+    nodes: int,
+    servers: int,
+    kinds: frozenset[FaultKind],
+    rate: float = FAULTS_PER_S,
+) -> Schedule:
+    """A schedule of overlapping faults, so many a second, the same for the same arguments."""
     rng = random.Random(seed)
     ordered = sorted(kinds, key=lambda kind: kind.value)
     latest_s = seconds - QUIET_END_S
     faults = []
-    for _ in range(round(FAULTS_PER_S * max(0.0, latest_s - QUIET_START_S))):
+    for _ in range(round(rate * max(0.0, latest_s - QUIET_START_S))):
         kind = rng.choice(ordered)
         lasts_s = rng.uniform(SHORTEST_S, LONGEST_S.get(kind, USUAL_LONGEST_S))
         at_s = rng.uniform(QUIET_START_S, latest_s)
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -34,10 +34,12 @@
 class ServerStandIn:
     """One server behind its proxy."""
 
-    def __init__(self, oracle: Oracle, registry: Registry, name: str, group: int, rng: random.Random) -> None:
+    def __init__(
+        self, oracle: Oracle, registry: Registry, name: str, group: int, host: str, rng: random.Random
+    ) -> None:
         self.name, self.group = name, group
         self.mode = ServerMode.GOOD
-        self.proxy = Proxy(oracle, name, group)
+        self.proxy = Proxy(oracle, name, group, host)
         self._oracle, self._registry, self._rng = oracle, registry, rng
         self._server: asyncio.Server
 
@@ -49,7 +51,9 @@
         self._registry.entries[self.name] = self._entry(Status.ACTIVE, 0, None)
 
     def _entry(self, status: Status, since_ms: int, started_s: float | None) -> Entry:
-        return Entry(self.name, f"127.0.0.1:{self.proxy.port}", self.group, status, since_ms, started_s)
+        return Entry(
+            self.name, f"{self.proxy.host}:{self.proxy.port}", self.group, status, since_ms, started_s
+        )
 
     def die(self) -> None:
         """The process dies."""
