--- /dev/null
+++ b/tests/test_late_dials.py
@@ -0,0 +1,146 @@
+"""Connections that come up late: what was decided before the dial may hold no more when it ends."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from tests.peers import LIMIT_S, Server, World, answer, read_message, request, run, until, world
+
+DIAL_S = 1.0  # until the kernel tries a handshake again that a full backlog has dropped
+
+
+class SlowListener:
+    """A server whose first connection comes up after a second: its backlog is full till then."""
+
+    def __init__(self) -> None:
+        self._socket = socket.create_server(("127.0.0.1", 0), backlog=0)
+        self._filler = socket.create_connection(self._socket.getsockname())
+        self._socket.setblocking(False)
+        host, port = self._socket.getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    async def accept(self) -> socket.socket:
+        """The connection that was dialled, once it is up."""
+        loop = asyncio.get_running_loop()
+        (await loop.sock_accept(self._socket))[0].close()
+        connection, _ = await asyncio.wait_for(loop.sock_accept(self._socket), LIMIT_S)
+        return connection
+
+    def close(self) -> None:
+        self._socket.close()
+        self._filler.close()
+
+
+@pytest.fixture
+def slow() -> Iterator[SlowListener]:
+    listener = SlowListener()
+    yield listener
+    listener.close()
+
+
+async def dialling(scene: World) -> None:
+    assert scene.node is not None
+    upstream = scene.node._upstream
+    await until(lambda: len(upstream._dials) == 1)
+
+
+async def sent_on(connection: socket.socket) -> str | None:
+    """The id of the request that comes on a connection within a moment, if one does."""
+    reader, writer = await asyncio.open_connection(sock=connection)
+    try:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(0.3):
+                seen = await read_message(reader)
+                return seen.id if seen is not None else None
+        return None
+    finally:
+        writer.close()
+
+
+def test_a_server_that_moves_while_its_connection_comes_up_gets_nothing_at_its_old_address(
+    slow: SlowListener, tmp_path: Path
+) -> None:
+    """Its name was still in service, so that the old process was sent the request."""
+
+    async def test() -> None:
+        server = Server(name="moves")
+        async with world(tmp_path, server, known=False) as scene:
+            scene.registry.whole = [server.entry(address=slow.address)]
+            await until(lambda: scene.node is not None and bool(scene.node._in_service))
+            caller = await scene.caller()
+            caller.write(request("a", "pay"))
+            await dialling(scene)
+            watches = scene.registry.watches()
+            scene.registry.tell(server.entry())
+            await until(lambda: scene.registry.watches() > watches)
+            assert await sent_on(await slow.accept()) is None
+            assert (await caller.read()).status == 200
+            assert [seen.id for seen in server.seen] == ["a"]
+
+    run(test())
+
+
+def test_a_keyed_request_is_not_written_again_once_its_window_is_over(
+    slow: SlowListener, tmp_path: Path
+) -> None:
+    """The window was looked at before the dial, and the repeat ran a second time."""
+    window_s = 0.6
+
+    async def test() -> None:
+        first = Server(usual=answer(500), name="first", group=1)
+        async with world(tmp_path, first, known=False) as scene:
+            assert scene.node is not None
+            scene.node._balancer.classes["save"].window_ms = window_s * 1000.0
+            scene.registry.whole = [first.entry()]
+            await until(lambda: scene.node is not None and len(scene.node._in_service) == 1)
+            caller = await scene.caller()
+            began_s = time.monotonic()
+            first.gate.clear()
+            caller.write(request("a", "save"))
+            await until(lambda: len(first.seen) == 1)
+            other = {"name": "second", "address": slow.address, "group": 1, "status": "active"}
+            watches = scene.registry.watches()
+            scene.registry.tell(other)
+            await until(lambda: scene.registry.watches() > watches)
+            first.gate.set()
+            await dialling(scene)
+            assert time.monotonic() - began_s < window_s
+            assert await sent_on(await slow.accept()) is None
+            assert time.monotonic() - began_s > window_s
+            assert (await caller.read()).status in (502, 503, 504)
+            assert len(first.seen) == 1
+
+    run(test())
+
+
+def test_nothing_is_written_with_no_time_left(slow: SlowListener, tmp_path: Path) -> None:
+    """(Passed when it was written: the attempt's own time-out comes first.)"""
+
+    async def test() -> None:
+        async with world(tmp_path, known=False) as scene:
+            scene.registry.whole = [{"name": "slow", "address": slow.address, "status": "active"}]
+            await until(lambda: scene.node is not None and bool(scene.node._in_service))
+            assert scene.node is not None
+            caller = await scene.caller()
+            caller.write(request("a", budget="1.1"))
+            await dialling(scene)
+            held = asyncio.get_running_loop()
+            (await held.sock_accept(slow._socket))[0].close()
+            connection, _ = await asyncio.wait_for(held.sock_accept(slow._socket), LIMIT_S)
+            time.sleep(0.12)  # the node, in this loop, is held up past the end of the request's time
+            reader, writer = await asyncio.open_connection(sock=connection)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(0.5):
+                    seen = await read_message(reader)
+                    assert seen is None or float(seen.headers["x-budget"]) > 0.0
+            writer.close()
+            assert (await caller.read()).status in (502, 503, 504)
+
+    run(test())
