Look at a server's address again when a dial has ended

Cause: may_send in node.py asked only whether the server's name is in service; a server whose new address was told during the dial was sent the request at its old one, where another process, or one that drains, may answer.

Change: the address told by then has to be the one that was dialled; else the attempt ends as never run, and the module picks anew.

Measured: with a dial of 1 s the old address got the request, and gets none (test_late_dials).

--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -284,9 +284,14 @@
         # Cut to what is left: an outcome must come before the answer is due.
         timeout_ms = max(0.0, min(action.timeout_ms, live.deadline_ms - MARGIN_MS - sent_ms))
 
+        address = self._addresses[server]
+
         def may_send() -> bool:
+            # Asked once more when a dial has ended: all that was decided before may have changed meanwhile.
             if live.requester.gone():
                 self.abandon(live)
+            if self._addresses.get(server) != address:
+                return False
             return action.id in self._live and server in self._in_service
 
         def ended(result: Result, answer: Answer | None) -> None:
@@ -302,7 +307,6 @@
             report = answer.report if answer is not None else None
             self._handle(api.AttemptEnded(action.id, number, server, result, took_ms, settled, report))
 
-        address = self._addresses[server]
         due_ms = sent_ms + timeout_ms
 
         def render() -> bytes:
