Look at a keyed request's window again when a dial has ended

Cause: logic.py held a repeat to the window in which servers drop it when it decided the send; a dial of up to the connect time-out came after that, and the repeat could run a second time.

Change: Send carries within_ms, what is left of the window; the network code asks it when the request could be written, and an attempt that is late ends as never run.

--- a/nickelbridge/interface.py
+++ b/nickelbridge/interface.py
@@ -248,13 +248,15 @@
     """Start the request's next attempt on a server; give it up after `timeout_ms`.
 
     `fresh`: on a connection of its own, as one that was kept may be dead without a sign of it, and what
-    is lost on it may have run.
+    is lost on it may have run. `within_ms`: if it has not been written by then it must not be any more (a
+    connection may take its time to come up) and ends as `MOOT`.
     """
 
     id: str
     server: int
     timeout_ms: float
     fresh: bool = False
+    within_ms: float = math.inf
 
 
 @dataclass(slots=True)
--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -466,7 +466,8 @@
         # The retry waits its back-off from this send in any case: given up sooner, an attempt is only lost.
         usual = max(patience * self._share * cls.aim_ms, self._back_off(call))
         most = usual if self._seen >= SAMPLES else left
-        self._actions.append(api.Send(call.id, server.id, min(most, wait), once))
+        within_ms = self._repeat_ends_ms(call) - now
+        self._actions.append(api.Send(call.id, server.id, min(most, wait), once, within_ms))
         return True
 
     def _in_budget(self, now: float) -> bool:
@@ -476,10 +477,15 @@
 
     def _repeatable(self, call: Call, now: float) -> bool:
         """Whether the class lets the call go out (again)."""
+        return now < self._repeat_ends_ms(call)
+
+    def _repeat_ends_ms(self, call: Call) -> float:
+        """From when on the call must not go out (again)."""
         if call.ran_ms is None or call.cls.repeat is Repeat.SAFE:
-            return True
-        window_ms = call.cls.window_ms - self.settings.tick_ms
-        return call.cls.repeat is Repeat.KEYED and now - call.ran_ms < window_ms
+            return math.inf
+        if call.cls.repeat is Repeat.UNSAFE:
+            return -math.inf
+        return call.ran_ms + call.cls.window_ms - self.settings.tick_ms
 
     def _back_off(self, call: Call) -> float:  # before a retry
         base = min(RETRY_WAIT_MS, RETRY_WAIT_SHARE * call.cls.aim_ms)
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -290,7 +290,7 @@
             # Asked once more when a dial has ended: all that was decided before may have changed meanwhile.
             if live.requester.gone():
                 self.abandon(live)
-            if self._addresses.get(server) != address:
+            if now_ms() > sent_ms + action.within_ms or self._addresses.get(server) != address:
                 return False
             return action.id in self._live and server in self._in_service
 
