Hold signals back before the handlers are there and once the loop gives them up

Cause: the event loop gives SIGHUP and SIGTERM back to the system as it closes, and before it has handlers they are the system's too; a reload that crossed the last moment of a planned end, or an early one, ended the process with a signal's status.

Change: both signals are blocked from the start of main until the handlers are there, and again from the end of the stop; what comes early is kept, what comes late has no one to act on it.

Measured: test_signals, three cases, fails without the change (status -1 and -15) and passes.

--- a/orchidferry/__main__.py
+++ b/orchidferry/__main__.py
@@ -18,6 +18,7 @@
 from orchidferry.log_output import LineWriter, open_standard_descriptors, set_up_logging
 from orchidferry.node import Node
 
+SIGNALS = (signal.SIGHUP, signal.SIGTERM)
 LAG_EVERY_S, LAG_S = 1.0, 0.1  # how often the event loop's lag is looked at, and what is worth a line
 # What discovery tells at a new address counts as told 4 s after SIGHUP: a shortage may last this long.
 RELOAD_EVERY_S, RELOAD_TRIES = 0.1, 25
@@ -38,6 +39,7 @@
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
     node = Node(config, loop)
     loop.add_signal_handler(signal.SIGHUP, reload, node, path)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
     try:
         host, port = await node.frontend.listen(loop, config.listen)
     except OSError as problem:
@@ -53,6 +55,8 @@
     log.info("stopping")
     await node.stop()
     log.info("stopped")
+    # As it closes the loop gives them back to the system, whose default is to end the process with an error.
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     return 0
 
 
@@ -88,6 +92,7 @@
 
 def main() -> int:
     """The program."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # until there are handlers: what comes is kept
     open_standard_descriptors()
     writer = LineWriter()
     path = os.environ.get("NODE_CONFIG")
--- /dev/null
+++ b/tests/test_signals.py
@@ -0,0 +1,78 @@
+"""Signals at any moment of a process's life: a reload never ends it, and an end is never a crash."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import signal
+from pathlib import Path
+
+import pytest
+
+from tests.peers import LIMIT_S, Server, run, world
+from tests.test_node import Program, spawn
+
+STARTS = 5
+EVERY_S = 0.0005
+
+
+async def signal_until_it_ends(process: asyncio.subprocess.Process, number: signal.Signals) -> int:
+    """Send a signal again and again until the process has ended; its exit status."""
+    async with asyncio.timeout(LIMIT_S):
+        while process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(number)
+            await asyncio.sleep(EVERY_S)
+    return process.returncode
+
+
+def test_reloads_up_to_the_last_moment_of_a_planned_end_do_not_crash_it(tmp_path: Path) -> None:
+    """Found by the soak: the event loop gives signals back to the system before the process has ended."""
+
+    async def test() -> None:
+        async with world(tmp_path, Server(), start=False) as scene:
+            for _ in range(STARTS):
+                program = await Program.start(scene)
+                program.process.send_signal(signal.SIGTERM)
+                assert await signal_until_it_ends(program.process, signal.SIGHUP) == 0
+
+    run(test())
+
+
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
+def test_a_signal_before_the_node_is_up_is_taken_once_it_is(number: signal.Signals, tmp_path: Path) -> None:
+    """It ended the process: its handlers were not there yet."""
+
+    async def test() -> None:
+        async with world(tmp_path, Server(), start=False) as scene:
+            text = scene.path.read_text()
+            scene.path.unlink()
+            os.mkfifo(scene.path)  # the process waits in it for its configuration
+            process = await spawn(scene.path)
+            scene.processes.append(process)
+            with await asyncio.to_thread(scene.path.open, "w") as file:
+                whole = tmp_path / "whole.json"
+                whole.write_text(text)
+                whole.replace(scene.path)  # for the reload
+                process.send_signal(number)
+                file.write(text)
+            _, errors = await read_until(process, b"configuration read again")
+            if number is signal.SIGHUP:
+                assert b"configuration read again" in errors
+                process.send_signal(signal.SIGTERM)
+            assert await asyncio.wait_for(process.wait(), LIMIT_S) == 0
+
+    run(test())
+
+
+async def read_until(process: asyncio.subprocess.Process, words: bytes) -> tuple[bool, bytes]:
+    """Read the log up to a line with these words, or its end."""
+    assert process.stderr is not None
+    text = b""
+    async with asyncio.timeout(LIMIT_S):
+        while line := await process.stderr.readline():
+            text += line
+            if words in line:
+                return True, text
+    return False, text
