--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import math
 import os
 import signal
 import sys
@@ -21,6 +22,7 @@
 READY_S = 10.0  # from a start to the first 200 of /-/ready
 ACCEPT_AFTER_TERM_S = 0.3  # for which connections still come after SIGTERM
 KILL_AFTER_TERM_S = DEADLINE_MS / 1000.0 + 0.7
+FIRST_RELOAD_S = 1.0  # from a start to the first SIGHUP at least
 BROKEN = "invariant broken"  # what the node's own count writes
 
 
@@ -40,6 +42,7 @@
         self._process: asyncio.subprocess.Process | None = None
         self._expected_end = False
         self._tasks: set[asyncio.Task[None]] = set()
+        self._reloadable_s = math.inf  # from when on the process may be sent SIGHUP
         self.restarting = asyncio.Lock()
         self.log_read = asyncio.Event()  # clear: nobody reads the log
         self.log_read.set()
@@ -59,6 +62,7 @@
 
     async def start(self) -> None:
         """Start a process and wait until it is ready."""
+        began_s, self._reloadable_s = asyncio.get_running_loop().time(), math.inf
         self._write_config()
         self._oracle.node_restarted(self.view.number)
         self._expected_end = False
@@ -83,6 +87,7 @@
         except TimeoutError:
             self._report_crash(f"not ready within {READY_S:.0f} s")
         self.view.open_to_new = True
+        self._reloadable_s = max(asyncio.get_running_loop().time(), began_s + FIRST_RELOAD_S)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
@@ -162,12 +167,17 @@
         if move:
             self._agent = (self._agent + 1) % len(self.agents)
         self._write_config()
-        self.signal(signal.SIGHUP)
+        self._signal_reload()
+
+    def _signal_reload(self) -> None:
+        """SIGHUP, which the platform does not send to a process that is not up."""
+        if asyncio.get_running_loop().time() >= self._reloadable_s:
+            self.signal(signal.SIGHUP)
 
     def reload_badly(self) -> None:
         """A configuration that can't be used; a good one follows later."""
         self._write_config('{"name": ')
-        self.signal(signal.SIGHUP)
+        self._signal_reload()
         self._write_config()
 
     async def end(self) -> None:
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -125,6 +125,12 @@
         self._started[server] = self._now_s()
         self._arrivals[server].clear()
 
+    def warm_share(self, server: str, at_s: float) -> float:
+        """The share of its capacity that a server has by now."""
+        age_s = at_s - self._started.get(server, -math.inf)
+        ramp = min(1.0, age_s / settings.RAMP_S)
+        return settings.START_CAPACITY + (1.0 - settings.START_CAPACITY) * ramp
+
     # Callers
 
     def request_sent(self, id: str, kind: str, node: int, budget_s: float) -> None:
@@ -227,7 +233,7 @@
         arrivals.append((attempt.last_byte_s, node))
         while arrivals[0][0] < attempt.last_byte_s - settings.OVERLOAD_FOR_S:
             arrivals.popleft()
-        share = settings.START_CAPACITY + (1.0 - settings.START_CAPACITY) * age_s / settings.RAMP_S
+        share = self.warm_share(attempt.server, attempt.last_byte_s)
         allowed = settings.OVERLOAD_FACTOR * self._capacity * share * settings.OVERLOAD_FOR_S
         small = allowed < SMALL_COUNT
         most = allowed + (3.0 if small else 2.0) * math.sqrt(allowed) + (3.0 if small else 2.0)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -70,6 +70,24 @@
             await self._released.wait()
 
 
+class AnswerCounter:
+    """Tells whether the bytes so far end with a whole answer."""
+
+    def __init__(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._whole = False
+
+    def feed(self, data: bytes) -> bool:
+        """Take the next bytes; whether an answer is whole with them."""
+        self._whole = False
+        with contextlib.suppress(httptools.HttpParserError):
+            self._parser.feed_data(data)
+        return self._whole
+
+    def on_message_complete(self) -> None:
+        self._whole = True
+
+
 class ProxyConnection(asyncio.Protocol):
     """A node's connection, and the one to the server that goes with it."""
 
@@ -168,6 +186,7 @@
 
     async def _pass_back(self, reader: asyncio.StreamReader) -> None:
         """Carry the server's bytes back, by the mode of the moment; its end too."""
+        answers = AnswerCounter()
         try:
             while data := await reader.read(65536):
                 await self._proxy.passed()
@@ -178,7 +197,8 @@
                 else:
                     self._transport.write(data)
                 self._end_attempt()
-                if self._proxy.mode is ProxyMode.CLOSES_IDLE:
+                # Not within an answer: cut short in order, one with no length would look whole.
+                if answers.feed(data) and self._proxy.mode is ProxyMode.CLOSES_IDLE:
                     break
             self._transport.close()
         except ConnectionError:
--- a/soak/run.py
+++ b/soak/run.py
@@ -72,7 +72,8 @@
         self._worst_lag_s = 0.0
         servers = servers_for(schedule.nodes)
         rate = schedule.nodes * CALLERS_A_NODE / (MEAN_GAP_S + ANSWER_S)
-        self.oracle = Oracle(self._loop.time, self._active, rate / servers / UTILIZATION)
+        capacity = rate / servers / UTILIZATION
+        self.oracle = Oracle(self._loop.time, self._active, capacity)
         if any(fault.kind is FaultKind.NODE_PAUSE for fault in schedule.faults):
             self.oracle.held_up_s = LONGEST_S[FaultKind.NODE_PAUSE]
         # Addresses of this run's own: a port that is free during a restart may go to any connection.
@@ -85,6 +86,7 @@
                 f"s{n}",
                 n % GROUPS,
                 f"{self._network}.{FIRST_SERVER + n}",
+                capacity,
                 self._rng,
             )
             for n in range(servers)
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -12,7 +12,8 @@
 from soak.oracle import AttemptRecord, Oracle
 from soak.proxy import Proxy
 
-WORK_S = (0.004, 0.02)  # the time that a request takes
+WORK_TIMES = (0.5, 1.5)  # of the mean work, for one request
+QUEUE_S = 0.3  # with more work than that waiting a request is turned away
 SLOW_TIMES = 15.0
 SECOND_ANSWER_S = 0.003
 LARGE_BODY, LARGE_SHARE = 30_000, 0.05
@@ -35,12 +36,16 @@
     """One server behind its proxy."""
 
     def __init__(
-        self, oracle: Oracle, registry: Registry, name: str, group: int, host: str, rng: random.Random
-    ) -> None:
+        self, oracle: Oracle, registry: Registry, name: str, group: int, host: str, capacity: float,
+        rng: random.Random,
+    ) -> None:  # fmt: skip
+        """`capacity`: the requests a second that it can do when warm."""
         self.name, self.group = name, group
         self.mode = ServerMode.GOOD
         self.proxy = Proxy(oracle, name, group, host)
         self._oracle, self._registry, self._rng = oracle, registry, rng
+        self._capacity = capacity
+        self._busy_until_s = 0.0  # it works off one request after another
         self._server: asyncio.Server
 
     async def start(self) -> None:
@@ -89,12 +94,16 @@
     async def _answer(self, writer: asyncio.StreamWriter, attempt: AttemptRecord) -> bool:
         """Answer an attempt; whether the connection stays open."""
         mode = self.mode
-        if mode is ServerMode.REFUSES:
+        now_s = asyncio.get_running_loop().time()
+        begins_s = max(now_s, self._busy_until_s)
+        if mode is ServerMode.REFUSES or begins_s - now_s > QUEUE_S:
             attempt.refused = True
             writer.write(frame(503, b"full", "X-Rejected: 1\r\n"))
             return True
-        work_s = self._rng.uniform(*WORK_S)
-        await asyncio.sleep(work_s * SLOW_TIMES if mode is ServerMode.SLOW else work_s)
+        work_s = self._rng.uniform(*WORK_TIMES) / self._capacity / self._oracle.warm_share(self.name, now_s)
+        self._busy_until_s = begins_s + work_s
+        done_s = self._busy_until_s - now_s
+        await asyncio.sleep(done_s + work_s * SLOW_TIMES if mode is ServerMode.SLOW else done_s)
         while self.mode is ServerMode.HANG:
             await asyncio.sleep(0.05)
         if mode is ServerMode.ERRORS:
