--- a/tests/test_deadline.py
+++ b/tests/test_deadline.py
@@ -3,11 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 import time
 from pathlib import Path
+from typing import cast
 
+import pytest
+
+from orchidferry.listener import RETRY_S
 from tests.peers import LIMIT_S, Server, read_message, request, run, until, world
+from tests.test_accept import FailingSocket
 
 SLACK_S = 0.15  # by which the time stated may be above what is left
 BUDGET_S = 2.5
@@ -64,3 +70,31 @@
             assert float(server.seen[1].headers["x-budget"]) <= left_s + SLACK_S
 
     run(test())
+
+
+@pytest.mark.parametrize("held_up_by", ["a shortage of descriptors", "a busy event loop"])
+def test_the_time_that_a_request_lay_unread_counts(held_up_by: str, tmp_path: Path) -> None:
+    """Found by the soak: 0.355 s were stated where the caller's time was over, after a failing accept."""
+    held_s = 0.6
+
+    async def test() -> None:
+        server = Server()
+        async with world(tmp_path, server) as scene:
+            assert scene.node is not None
+            await until(lambda: scene.node is not None and bool(scene.node._in_service))
+            listener = scene.node.frontend._listener
+            assert listener is not None
+            if held_up_by == "a shortage of descriptors":
+                errors = [errno.EMFILE] * round(held_s / RETRY_S + 1)
+                listener._socket = cast(socket.socket, FailingSocket(listener._socket, *errors))
+            with socket.create_connection(scene.address, LIMIT_S) as caller:
+                sent_s = time.monotonic()
+                caller.sendall(request("a", budget=str(BUDGET_S)))
+                if held_up_by == "a busy event loop":
+                    time.sleep(held_s)
+                await until(lambda: len(server.seen) == 1)
+                left_s = BUDGET_S - (time.monotonic() - sent_s)
+                assert left_s < BUDGET_S - held_s
+                assert float(server.seen[0].headers["x-budget"]) <= left_s + SLACK_S
+
+    run(test())
