Count a request's time from when its last byte reached the machine

Cause: its deadline ran from the moment the node read it; what it lay in the backlog during a shortage of descriptors, or in the socket while the loop was busy, was time that its caller did not have.

Change: the kernel tells how long ago data last came on the connection (TCP_INFO); where it does not, the moment of reading counts as before.

--- a/orchidferry/caller.py
+++ b/orchidferry/caller.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import select
+import socket
 from collections import deque
 from typing import Protocol, cast
 
@@ -15,6 +16,7 @@
 from orchidferry.reply import Reply, render
 from orchidferry.request import Message, Unacceptable
 from orchidferry.request_parser import Item, Rejection, RequestParser
+from orchidferry.socket_state import unread_since_ms
 from orchidferry.stages import Stage
 
 MOST_QUEUED = 8  # messages read ahead of their turn; the rest waits unread, or read and not parsed
@@ -66,6 +68,7 @@
         self.stage: Stage | None = None  # None: not open
         self._owner = owner
         self._transport: asyncio.Transport
+        self._socket: socket.socket
         self._parser = RequestParser(owner.classes, owner.own_path)
         self._queue: deque[Item] = deque()  # read and not yet begun
         self._unparsed = b""  # read, while the queue was full
@@ -83,6 +86,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Count the connection in."""
         self._transport = cast(asyncio.Transport, transport)  # uvloop's is none by class
+        self._socket = self._transport.get_extra_info("socket")
         self._owner.opened(self)
 
     def data_received(self, data: bytes) -> None:
@@ -90,7 +94,8 @@
         if self._ended or self._parser.finished:
             return
         if not self._unparsed:
-            self._unparsed_came_ms = now_ms()
+            # It may have lain unread: in the backlog, while the loop was busy, or while reading was paused.
+            self._unparsed_came_ms = now_ms() - unread_since_ms(self._socket)
         self._unparsed += data
         self._serve_next()
         self._settle()
@@ -164,7 +169,7 @@
     def _polled(self, events: int) -> bool:
         """Ask the socket itself: the loop hears of it only once a turn."""
         poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket").fileno(), events)
+        poll.register(self._socket.fileno(), events)
         return bool(poll.poll(0))
 
     def time_out(self) -> None:
