One gate before each write to a server, by the node's own books, that counts broken invariants

Every attempt passes SendGuard when it is decided and again when its connection has come up: server in service, address unchanged, window not over, none out, no repeat of an unsafe request, attempts left. What merely changed ends as never run, with its reason in the request's line of the log; what the module must never ask for is held back, counted and told ('invariant broken').

--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -23,6 +23,7 @@
 from orchidferry.frontend import Frontend
 from orchidferry.reply import Reply
 from orchidferry.request import Message, Unacceptable
+from orchidferry.send_guard import AttemptLog, Refusal, SendGuard
 from orchidferry.starts import StartTimes
 from orchidferry.upstream import Answer, Attempt, Upstream
 
@@ -47,7 +48,7 @@
 
     __slots__ = (
         "_node", "attempts", "came_ms", "deadline_ms", "deadline_timer", "id", "message", "outcomes",
-        "requester",
+        "requester", "sent",
     )  # fmt: skip
 
     def __init__(
@@ -56,6 +57,7 @@
         self._node, self.id, self.message, self.requester = node, id, message, requester
         self.came_ms, self.deadline_ms = message.came_ms, deadline_ms
         self.attempts = 0  # begun so far
+        self.sent = AttemptLog()
         self.outcomes: list[str] = []  # how each of them ended, for the log
         self.deadline_timer: asyncio.TimerHandle | None = None
 
@@ -105,6 +107,7 @@
         self._addresses: dict[int, Address] = {}
         self._in_service: set[int] = set()
         self._starts = StartTimes()
+        self._guard = SendGuard(settings, self._in_service, self._addresses)
         self._upstream = Upstream(loop, settings.connect_timeout_ms, settings.keepalive_ms, self._room)
         self._discovery = Discovery(loop, config.discovery, self._on_news)
         self._asked = False  # the first call to discovery has ended
@@ -273,29 +276,32 @@
 
     def _send(self, action: api.Send) -> None:
         live, server, sent_ms = self._live.get(action.id), action.server, now_ms()
-        if live is not None and live.requester.gone():
-            self.abandon(live)
-            live = None
-        if live is None or server not in self._in_service:
+        address, latest_ms = self._addresses.get(server), sent_ms + action.within_ms
+        refusal = self._refusal(live, server, address, latest_ms)
+        if live is None or address is None or refusal is not None:
             number = live.attempts if live is not None else 0
-            return self._handle(api.AttemptEnded(action.id, number, server, Result.MOOT, 0.0, live is None))
+            settled = action.id not in self._live
+            return self._handle(api.AttemptEnded(action.id, number, server, Result.MOOT, 0.0, settled))
         number = live.attempts
         live.attempts += 1
         # Cut to what is left: an outcome must come before the answer is due.
         timeout_ms = max(0.0, min(action.timeout_ms, live.deadline_ms - MARGIN_MS - sent_ms))
-
-        address = self._addresses[server]
+        due_ms = sent_ms + timeout_ms
+        written = False
 
         def may_send() -> bool:
-            # Asked once more when a dial has ended: all that was decided before may have changed meanwhile.
-            if live.requester.gone():
-                self.abandon(live)
-            if now_ms() > sent_ms + action.within_ms or self._addresses.get(server) != address:
-                return False
-            return action.id in self._live and server in self._in_service
+            return self._refusal(live, server, address, latest_ms) is None
+
+        def render() -> bytes:
+            nonlocal written
+            written = True
+            live.sent.write()
+            return request_bytes(live.message, address, max(0.0, due_ms - now_ms()))
 
         def ended(result: Result, answer: Answer | None) -> None:
             self._attempts.pop((action.id, number), None)
+            if written:
+                live.sent.end(self._guard.may_have_run(result))
             took_ms = now_ms() - sent_ms
             began_ms = sent_ms - live.came_ms
             live.outcomes.append(
@@ -307,15 +313,25 @@
             report = answer.report if answer is not None else None
             self._handle(api.AttemptEnded(action.id, number, server, result, took_ms, settled, report))
 
-        due_ms = sent_ms + timeout_ms
-
-        def render() -> bytes:
-            return request_bytes(live.message, address, max(0.0, due_ms - now_ms()))
-
         attempt = self._upstream.send(server, address, render, timeout_ms, may_send, ended, action.fresh)
         if not attempt.over:
             self._attempts[action.id, number] = attempt
 
+    def _refusal(
+        self, live: Live | None, server: int, address: Address | None, latest_ms: float
+    ) -> Refusal | None:
+        """Why an attempt must not be written now; asked when it is decided, and when a dial has ended."""
+        if live is None or live.id not in self._live:
+            return Refusal.ANSWERED
+        if live.requester.gone():
+            self.abandon(live)
+            return Refusal.CALLER_GONE
+        message = live.message
+        reason = self._guard.refusal(message.id, message.cls, live.sent, server, address, latest_ms)
+        if reason is not None:
+            live.outcomes.append(f"held back: {reason.value}")
+        return reason
+
     # Discovery
 
     def _on_news(self, listing: Listing | None, why: str) -> None:
--- /dev/null
+++ b/orchidferry/send_guard.py
@@ -0,0 +1,100 @@
+"""The last check before an attempt is written to a server's connection.
+
+What was decided may hold no more when a connection has come up: then the attempt is held back and ends as
+never run. What the decisions must never ask for is held back too, counted, and told in the log.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from collections.abc import Mapping, Set
+from enum import Enum
+
+from nickelbridge import interface as api
+from nickelbridge.interface import Repeat, Result
+from orchidferry.config import Address, now_ms
+
+log = logging.getLogger("orchidferry")
+
+
+class Refusal(Enum):
+    """Why an attempt is not written."""
+
+    ANSWERED = "its request has ended"
+    CALLER_GONE = "its caller has gone"
+    NOT_IN_SERVICE = "its server is not in service"
+    MOVED = "its server has another address now"
+    WINDOW_OVER = "the window for repeats is over"
+    UNSAFE_REPEAT = "an earlier attempt of an unsafe request may have run"
+    OVERLAP = "an earlier attempt is still out"
+    TOO_MANY = "all attempts that are allowed have been made"
+
+
+BROKEN_INVARIANTS = frozenset((Refusal.UNSAFE_REPEAT, Refusal.OVERLAP, Refusal.TOO_MANY))
+
+
+class AttemptLog:
+    """What has been written of one request, and what became of it."""
+
+    __slots__ = ("may_have_run", "out", "written")
+
+    def __init__(self) -> None:
+        self.written = 0  # attempts
+        self.out = 0  # of these, without an outcome
+        self.may_have_run = False
+
+    def write(self) -> None:
+        """An attempt is being written."""
+        self.written += 1
+        self.out += 1
+
+    def end(self, ran: bool) -> None:
+        """A written attempt has ended, and may have run or has not."""
+        self.out -= 1
+        self.may_have_run = self.may_have_run or ran
+
+
+class SendGuard:
+    """One gate for all attempts, by the node's own books and not the decision module's."""
+
+    def __init__(
+        self, settings: api.Settings, in_service: Set[int], addresses: Mapping[int, Address]
+    ) -> None:
+        """`in_service` and `addresses` are the node's own, as they change."""
+        self._settings, self._in_service, self._addresses = settings, in_service, addresses
+        self._repeat = {cls.name: cls.repeat for cls in settings.classes}
+        self.broken: Counter[Refusal] = Counter()
+
+    def may_have_run(self, result: Result) -> bool:
+        """Whether a written attempt that ended so may have run."""
+        if result is Result.REFUSED:
+            return self._settings.full_may_have_run
+        return result not in (Result.UNREACHABLE, Result.MOOT)
+
+    def refusal(
+        self, id: str, cls: str, attempts: AttemptLog, server: int, address: Address | None, latest_ms: float
+    ) -> Refusal | None:
+        """Why an attempt must not be written now; None: it may.
+
+        `address` is that of the connection, `latest_ms` the last moment for a repeat by `now_ms`.
+        """
+        reason = self._changed(server, address, latest_ms) or self._broken_rule(cls, attempts)
+        if reason in BROKEN_INVARIANTS:
+            self.broken[reason] += 1
+            log.error("invariant broken (%d so far): request %s: %s", self.broken.total(), id, reason.value)
+        return reason
+
+    def _changed(self, server: int, address: Address | None, latest_ms: float) -> Refusal | None:
+        if server not in self._in_service:
+            return Refusal.NOT_IN_SERVICE
+        if self._addresses.get(server) != address:
+            return Refusal.MOVED
+        return Refusal.WINDOW_OVER if now_ms() > latest_ms else None
+
+    def _broken_rule(self, cls: str, attempts: AttemptLog) -> Refusal | None:
+        if attempts.out and not self._settings.parallel_attempts:
+            return Refusal.OVERLAP
+        if attempts.may_have_run and self._repeat[cls] is Repeat.UNSAFE:
+            return Refusal.UNSAFE_REPEAT
+        return Refusal.TOO_MANY if attempts.written >= self._settings.max_attempts else None
--- a/tests/broken_nodes.py
+++ b/tests/broken_nodes.py
@@ -43,6 +43,7 @@
             path.write_text(text.replace(patch.old, patch.new), encoding="utf-8")
 
 
+GUARD = "orchidferry/send_guard.py"
 CALLER, NODE, LOGIC = "orchidferry/caller.py", "orchidferry/node.py", "nickelbridge/logic.py"
 BROKEN_NODES = (
     BrokenNode(
@@ -59,6 +60,12 @@
     ),
     BrokenNode(
         "an unsafe request is sent again", Rule.DUPLICATE, (FaultKind.PROXY_RESET, FaultKind.SERVER_ERRORS),
+        (Patch(LOGIC, "if call.ran_ms is None or call.cls.repeat is Repeat.SAFE:", "if True:"),
+         Patch(GUARD, "if attempts.may_have_run and", "if False and")),
+    ),
+    BrokenNode(
+        "an unsafe request is sent again, and the node's own gate holds it back", Rule.INVARIANT,
+        (FaultKind.PROXY_RESET, FaultKind.SERVER_ERRORS),
         (Patch(LOGIC, "if call.ran_ms is None or call.cls.repeat is Repeat.SAFE:", "if True:"),),
     ),
     BrokenNode(
--- /dev/null
+++ b/tests/test_send_guard.py
@@ -0,0 +1,81 @@
+"""The gate before a server's connection: what changed is held back, a broken rule is counted too."""
+
+from __future__ import annotations
+
+import logging
+import math
+from pathlib import Path
+
+import pytest
+
+from nickelbridge import logic
+from nickelbridge.interface import Result
+from orchidferry.config import now_ms
+from orchidferry.send_guard import AttemptLog, Refusal, SendGuard
+from tests.helpers import settings
+from tests.peers import RESET, Server, run, world
+
+SERVER, ADDRESS = 7, ("127.0.0.1", 9000)
+
+
+def guard() -> SendGuard:
+    return SendGuard(settings(), {SERVER}, {SERVER: ADDRESS})
+
+
+def refusal(of: SendGuard, attempts: AttemptLog, cls: str = "safe", **changes: float) -> Refusal | None:
+    latest_ms = changes.get("latest_ms", math.inf)
+    return of.refusal("a", cls, attempts, int(changes.get("server", SERVER)), ADDRESS, latest_ms)
+
+
+def after(result: Result) -> AttemptLog:
+    attempts = AttemptLog()
+    attempts.write()
+    attempts.end(guard().may_have_run(result))
+    return attempts
+
+
+def test_what_has_changed_since_a_decision_is_held_back_and_breaks_nothing() -> None:
+    of = guard()
+    assert refusal(of, AttemptLog()) is None
+    assert refusal(of, AttemptLog(), server=8) is Refusal.NOT_IN_SERVICE
+    assert refusal(of, AttemptLog(), latest_ms=now_ms() - 1.0) is Refusal.WINDOW_OVER
+    assert of.refusal("a", "safe", AttemptLog(), SERVER, ("127.0.0.1", 1), math.inf) is Refusal.MOVED
+    assert not of.broken
+
+
+@pytest.mark.parametrize("result", [Result.TIMEOUT, Result.RESET, Result.ERROR, Result.SERVED])
+def test_an_unsafe_request_that_may_have_run_is_not_written_again(result: Result) -> None:
+    of = guard()
+    assert refusal(of, after(result), "unsafe") is Refusal.UNSAFE_REPEAT
+    assert refusal(of, after(result), "safe") is None
+    assert refusal(of, after(Result.REFUSED), "unsafe") is None
+    assert of.broken == {Refusal.UNSAFE_REPEAT: 1}
+
+
+def test_two_attempts_at_once_and_too_many_are_counted() -> None:
+    of, attempts = guard(), AttemptLog()
+    attempts.write()
+    assert refusal(of, attempts) is Refusal.OVERLAP
+    for _ in range(settings().max_attempts):
+        attempts.end(ran=True)
+        attempts.write()
+    attempts.end(ran=True)
+    assert refusal(of, attempts) is Refusal.TOO_MANY
+    assert of.broken.total() == 2
+
+
+def test_a_decision_that_breaks_a_rule_is_not_carried_out_and_is_told(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """A module that sends unsafe requests again: the server sees one, and the log says so."""
+    caplog.set_level(logging.INFO)
+    monkeypatch.setattr(logic.Balancer, "_repeat_ends_ms", lambda self, call: math.inf)
+
+    async def test() -> None:
+        server = Server(usual=RESET)
+        async with world(tmp_path, server) as scene:
+            assert (await scene.ask("a", "pay")).status in (502, 503, 504)
+            assert [seen.id for seen in server.seen] == ["a"]
+
+    run(test())
+    assert any("invariant broken" in message for message in caplog.messages)
