--- a/soak/run.py
+++ b/soak/run.py
@@ -205,16 +205,18 @@
 
     async def _server_fault(self, fault: Fault, server: ServerStandIn) -> None:
         if fault.kind is FaultKind.SERVER_DRAIN:
-            server.set_status(Status.LEAVING)
-            await asyncio.sleep(fault.lasts_s + DRAINED_S)
-            server.set_status(Status.LEFT)
-            await asyncio.sleep(LEFT_S)
-            server.die()
-            await server.return_cold()
+            async with server.restarting:
+                server.set_status(Status.LEAVING)
+                await asyncio.sleep(fault.lasts_s + DRAINED_S)
+                server.set_status(Status.LEFT)
+                await asyncio.sleep(LEFT_S)
+                server.die()
+                await server.return_cold()
         elif fault.kind is FaultKind.SERVER_RESTART:
-            server.die()
-            await asyncio.sleep(fault.lasts_s)
-            await server.return_cold()
+            async with server.restarting:
+                server.die()
+                await asyncio.sleep(fault.lasts_s)
+                await server.return_cold()
         elif fault.kind.value.startswith("proxy_"):
             server.proxy.set_mode(ProxyMode(fault.kind.value.removeprefix("proxy_")))
             await asyncio.sleep(fault.lasts_s)
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -42,6 +42,7 @@
         """`capacity`: the requests a second that it can do when warm."""
         self.name, self.group = name, group
         self.mode = ServerMode.GOOD
+        self.restarting = asyncio.Lock()  # held from a drain or a death to the return
         self.proxy = Proxy(oracle, name, group, host)
         self._oracle, self._registry, self._rng = oracle, registry, rng
         self._capacity = capacity
