Counts of closes, refusals, outcomes and failures by reason, in the log each minute and at the end

The log told single requests that ended badly, and nothing of connections that the node closed, attempts that were held back or calls to discovery in their number.

--- a/orchidferry/caller.py
+++ b/orchidferry/caller.py
@@ -13,6 +13,7 @@
 
 from nickelbridge import interface as api
 from orchidferry.config import now_ms
+from orchidferry.event_counts import Event, EventCounts
 from orchidferry.reply import Reply, render
 from orchidferry.request import Message, Unacceptable
 from orchidferry.request_parser import Item, Rejection, RequestParser
@@ -44,6 +45,7 @@
     """What a connection needs of the frontend."""
 
     classes: dict[str, api.RequestClass]
+    counts: EventCounts
 
     def accept(self, message: Message, requester: Requester) -> TakenRequest:
         """Have the node take a request; raises `Unacceptable`."""
@@ -163,8 +165,7 @@
         """Close after what is under way, read by the loop or not yet; at once if nothing is."""
         self._closing = True
         if not self._busy and not self._owes_more():
-            self._transport.close()
-            self._settle()
+            self._close("the node ends")
 
     def _polled(self, events: int) -> bool:
         """Ask the socket itself: the loop hears of it only once a turn."""
@@ -175,7 +176,7 @@
     def time_out(self) -> None:
         """Its stage has lasted too long."""
         if self.stage is Stage.LEAVING:
-            self.abort()
+            self.abort("it did not read what it was sent")
         elif self.stage is Stage.REJECTING:
             self._fail_owed()
         elif self._parser.partial:
@@ -183,12 +184,18 @@
             self._queue.append(Rejection(Reply(408, b"the request took too long to come")))
             self._fail_owed()
         elif not self.unread():  # else a request crosses the limit: closed over it, it would be reset
-            self._closing = True
-            self._transport.close()
-            self._settle()
+            self._close(f"it waited too long for {self.stage.value if self.stage else 'nothing'}")
+
+    def _close(self, why: str) -> None:
+        """Close it, with nothing on it."""
+        self._owner.counts.note(Event.CLOSED, why)
+        self._closing = True
+        self._transport.close()
+        self._settle()
 
-    def abort(self) -> None:
+    def abort(self, why: str) -> None:
         """End it at once, whatever is on it."""
+        self._owner.counts.note(Event.CLOSED, why)
         self._ended = True
         self._owner.closed(self)  # now: its socket is as good as given back
         self._transport.abort()
@@ -206,6 +213,7 @@
 
     def _reject(self, rejection: Rejection) -> None:
         """Tell the error that ends the connection; all that came before it has its answer."""
+        self._owner.counts.note(Event.CLOSED, f"rejected with {rejection.reply.status}")
         self._closing = self._ended = True
         self._drop_queued()
         self._transport.write(render(rejection.reply, close=True))
--- /dev/null
+++ b/orchidferry/event_counts.py
@@ -0,0 +1,66 @@
+"""Counts of what happened and why: closes, refusals, attempts' outcomes, failures of discovery.
+
+One line of the log a minute, and one at the end, where anything was counted since the last.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import Counter
+from enum import Enum
+
+REPORT_EVERY_S = 60.0
+
+log = logging.getLogger("orchidferry")
+
+
+class Event(Enum):
+    """What is counted, each with a reason."""
+
+    CLOSED = "closed"  # a caller's connection, by the node
+    ANSWERED = "answered"  # a request, by status
+    ABANDONED = "abandoned"  # a request
+    ATTEMPT = "attempt"  # by outcome
+    HELD_BACK = "held_back"  # an attempt that was not written
+    DISCOVERY = "discovery"  # a call that failed
+
+
+class EventCounts:
+    """How often each event happened for each reason."""
+
+    def __init__(self) -> None:
+        self.total: Counter[tuple[Event, str]] = Counter()
+        self._reported: Counter[tuple[Event, str]] = Counter()
+
+    def note(self, event: Event, reason: str) -> None:
+        """Count one event."""
+        self.total[event, reason] += 1
+
+    def line(self) -> str:
+        """What was counted since the last line; empty if nothing was."""
+        new = self.total - self._reported
+        self._reported = self.total.copy()
+        parts = (
+            f"{event.value}[{reason}]={count}" for (event, reason), count in sorted(new.items(), key=_name)
+        )
+        return ", ".join(parts)
+
+    def report(self) -> None:
+        """Write the line."""
+        text = self.line()
+        if text:
+            log.info("counts: %s", text)
+
+    def report_regularly(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Write it from now on, every so often."""
+        loop.call_later(REPORT_EVERY_S, self._report_again, loop)
+
+    def _report_again(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.report()
+        self.report_regularly(loop)
+
+
+def _name(item: tuple[tuple[Event, str], int]) -> tuple[str, str]:
+    (event, reason), _ = item
+    return event.value, reason
--- a/orchidferry/frontend.py
+++ b/orchidferry/frontend.py
@@ -9,6 +9,7 @@
 from nickelbridge import interface as api
 from orchidferry.caller import CallerConnection, Requester, TakenRequest
 from orchidferry.config import Address
+from orchidferry.event_counts import EventCounts
 from orchidferry.listener import Listener
 from orchidferry.reply import Reply
 from orchidferry.request import Message
@@ -25,9 +26,15 @@
     """The listener and all callers' connections."""
 
     def __init__(
-        self, classes: dict[str, api.RequestClass], accept: Accept, ready: Callable[[], bool], most: int
+        self,
+        classes: dict[str, api.RequestClass],
+        accept: Accept,
+        ready: Callable[[], bool],
+        most: int,
+        counts: EventCounts,
     ) -> None:
-        self.classes = classes
+        """`most`: callers' connections that may be open at once."""
+        self.classes, self.counts = classes, counts
         self._accept, self._ready, self._most = accept, ready, most
         self.connections: StageTable[CallerConnection] = StageTable()
         self._listener: Listener | None = None
@@ -69,7 +76,7 @@
         elif len(self.connections) > self._most:
             candidates = itertools.islice(self.connections.expendable(), MOST_POLLED)
             others = (other for other in candidates if other is not connection and not other.unread())
-            next(others, connection).abort()
+            next(others, connection).abort("too many connections")
 
     def moved(self, connection: CallerConnection, stage: Stage) -> None:
         """A connection waits for something else; its time begins anew if so."""
@@ -112,4 +119,4 @@
     def abort(self) -> None:
         """End all that is left."""
         for connection in self.connections.all():
-            connection.abort()
+            connection.abort("the node ends")
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -20,6 +20,7 @@
 from orchidferry.caller import Requester
 from orchidferry.config import Address, Config, Listing, now_ms
 from orchidferry.discovery import Discovery
+from orchidferry.event_counts import Event, EventCounts
 from orchidferry.frontend import Frontend
 from orchidferry.reply import Reply
 from orchidferry.request import Message, Unacceptable
@@ -107,13 +108,14 @@
         self._addresses: dict[int, Address] = {}
         self._in_service: set[int] = set()
         self._starts = StartTimes()
+        self.counts = EventCounts()
         self._guard = SendGuard(settings, self._in_service, self._addresses)
         self._upstream = Upstream(loop, settings.connect_timeout_ms, settings.keepalive_ms, self._room)
         self._discovery = Discovery(loop, config.discovery, self._on_news)
         self._asked = False  # the first call to discovery has ended
         self.frontend = Frontend(
             self._balancer.classes, self.accept, lambda: bool(self._in_service),
-            int(CALLERS_SHARE * self._descriptors),
+            int(CALLERS_SHARE * self._descriptors), self.counts,
         )  # fmt: skip
         self._traces = Bucket(TRACES_PER_S, now_ms())
         self._longest_ms = min(LONGEST_MS, max(cls.deadline_ms for cls in settings.classes))
@@ -121,6 +123,7 @@
 
     def start(self) -> None:
         """Let the module begin, and ask for the list: the node is ready once that call has ended."""
+        self.counts.report_regularly(self._loop)
         self._handle(api.Started())
         if not self._config.settings.follow_list:
             self._discovery.subscribe()
@@ -161,6 +164,7 @@
         except TimeoutError:
             self.frontend.abort()  # all is answered by now; what is left does not read
         self._discovery.close()
+        self.counts.report()
 
     def _room(self) -> int:
         return self._descriptors - SPARE_SOCKETS - self.frontend.count() - self._upstream.count()
@@ -191,6 +195,7 @@
     def abandon(self, live: Live, why: str = "left by its caller") -> None:
         """Nobody waits any more."""
         if self._drop(live):
+            self.counts.note(Event.ABANDONED, why)
             self._trace(live, why)
             self._handle(api.ClientGone(live.id))
 
@@ -206,6 +211,7 @@
     def _finish(self, id: str, reply: Reply) -> None:
         live = self._live.get(id)
         if live is not None and self._drop(live):
+            self.counts.note(Event.ANSWERED, str(reply.status))
             if reply.status != 200:
                 self._trace(live, f"answered {reply.status}")
             live.requester.answer(reply)
@@ -227,6 +233,7 @@
             live.deadline_timer = self._loop.call_later(left_ms / 1000.0 + 0.001, self._overdue, live)
         elif self._drop(live):
             log.warning("request %s was not ended by its deadline", live.message.id)
+            self.counts.note(Event.ANSWERED, "504")
             self._trace(live, "answered 504")
             live.requester.answer(Reply(504, b"no answer in time"))
             self._handle(api.ClientGone(live.id))
@@ -302,6 +309,7 @@
             self._attempts.pop((action.id, number), None)
             if written:
                 live.sent.end(self._guard.may_have_run(result))
+            self.counts.note(Event.ATTEMPT, result.name)
             took_ms = now_ms() - sent_ms
             began_ms = sent_ms - live.came_ms
             live.outcomes.append(
@@ -329,6 +337,7 @@
         message = live.message
         reason = self._guard.refusal(message.id, message.cls, live.sent, server, address, latest_ms)
         if reason is not None:
+            self.counts.note(Event.HELD_BACK, reason.value)
             live.outcomes.append(f"held back: {reason.value}")
         return reason
 
@@ -343,6 +352,7 @@
         if listing is not None:
             self._take_listing(listing, api.ListKind.FULL if listing.whole else api.ListKind.CHANGES)
             return
+        self.counts.note(Event.DISCOVERY, why.partition(":")[0])
         log.info("discovery: %s", why)
         if self._config.settings.follow_list:
             self._handle(api.ServerList(api.ListKind.FAILED))
--- a/tests/broken_nodes.py
+++ b/tests/broken_nodes.py
@@ -74,8 +74,11 @@
         (Patch(NODE, "max(0.0, due_ms - now_ms()))", "live.message.budget_ms)"),),
     ),
     BrokenNode(
-        "cold servers get a full share", Rule.FAILBACK, (FaultKind.SERVER_DRAIN,),
-        (Patch(LOGIC, "if self.started_ms is None or not settings.ramp_time_ms:", "if True:"),),
+        "cold servers get more than a full share, whatever they hold", Rule.FAILBACK,
+        (FaultKind.SERVER_DRAIN,),
+        (Patch(LOGIC, "if self.started_ms is None or not settings.ramp_time_ms:\n            return 1.0",
+               "return 1.0 if self.started_ms is None else 2.0"),
+         Patch(LOGIC, "if holds <= least]", "]")),
     ),
     BrokenNode(
         "a planned end closes connections over requests", Rule.LOST, (FaultKind.NODE_STOP,),
@@ -92,7 +95,8 @@
                "Reply(200, vars(self).setdefault('_swap', [b'']).pop(), answer.content_type)"),
          Patch(NODE, "            settled = action.id not in self._live\n            report",
                "            settled = action.id not in self._live\n"
-               "            vars(self).setdefault('_swap', []).append(answer.body if answer else b'')\n")),
+               "            vars(self).setdefault('_swap', []).append(answer.body if answer else b'')\n"
+               "            report")),
     ),
     BrokenNode(
         "a reset ends an answer with no length", Rule.LOST, (FaultKind.SERVER_NO_LENGTH,),
