--- a/orchidferry/upstream.py
+++ b/orchidferry/upstream.py
@@ -26,8 +26,8 @@
 # What a dial fails with for want of something here, whatever the server does.
 OWN_SHORTAGE = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 # A second answer may come some milliseconds after the first (join+brink: 0.8 to 3.6 ms). Nothing in it tells
-# which request it answers, so a connection rests for so long before the next one goes out on it.
-REST_MS = 10.0
+# which request it answers, so a connection is used again only after this.
+REUSE_DELAY_MS = 10.0
 TURN_S = 0.001  # a timer's least, after which the loop has read what had come before
 SWEEP_S = 1.0  # how often connections that have idled too long are looked for
 
@@ -112,7 +112,7 @@
 
     def __init__(self, pool: Upstream, server: int, address: Address) -> None:
         self.server, self.address, self.idle_since = server, address, 0.0
-        self.rests_till = 0.0  # no request goes out on it before
+        self.reusable_from_ms = 0.0  # no request goes out on it before
         self._pool = pool
         self._transport: asyncio.Transport
         self._attempt: Attempt | None = None
@@ -227,7 +227,7 @@
     def _end(self, result: Result, reuse: bool, answer: Answer | None = None) -> None:
         attempt, self._attempt = self._attempt, None
         if reuse and not self._paused and self.usable():
-            self.rests_till = now_ms() + REST_MS
+            self.reusable_from_ms = now_ms() + REUSE_DELAY_MS
             self._pool.put_back(self)  # first: what the outcome sets off may use it
         else:
             self.close()
@@ -351,9 +351,9 @@
             attempt.timed_out()
 
     def _take_idle(self, server: int, address: Address) -> Connection | None:
-        """The most recently used that has rested, so that the others can grow old and go."""
+        """The most recently used that may be used again, so that the others can grow old and go."""
         now, idle = now_ms(), self._idle.get(server, [])
-        for connection in [c for c in reversed(idle) if c.rests_till <= now]:
+        for connection in [c for c in reversed(idle) if c.reusable_from_ms <= now]:
             if connection.usable() and connection.address == address:
                 idle.remove(connection)
                 return connection
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,9 +9,9 @@
 
 
 @pytest.fixture(autouse=True)
-def connections_that_need_no_rest(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Which connection a request gets must not hang on how fast the test runs; the rest has its own tests."""
-    monkeypatch.setattr(upstream, "REST_MS", 0.0)
+def connections_reusable_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Which connection a request gets must not hang on how fast the test runs; the delay has its own tests."""
+    monkeypatch.setattr(upstream, "REUSE_DELAY_MS", 0.0)
 
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -340,7 +340,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Nothing in an answer tells which request it is for, so a connection rests before the next goes out."""
-    monkeypatch.setattr(upstream, "REST_MS", 60_000.0)  # the next comes within it on any machine
+    monkeypatch.setattr(upstream, "REUSE_DELAY_MS", 60_000.0)  # the next comes within it on any machine
 
     async def test() -> None:
         server = Twice()
