--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,7 +10,7 @@
 
 @pytest.fixture(autouse=True)
 def connections_reusable_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Which connection a request gets must not hang on how fast the test runs; the delay has its own tests."""
+    """Which connection a request gets must not hang on how fast the test runs; the delay has tests."""
     monkeypatch.setattr(upstream, "REUSE_DELAY_MS", 0.0)
 
 
