Wait a shortage of descriptors out when a node starts to listen

Cause: a listening socket that could not be had at the start ended the process with status 2, though the shortage was over a moment later.

Change: listening is tried for 4 s where descriptors or memory run short; an address in use stays an error at once.

--- a/orchidferry/__main__.py
+++ b/orchidferry/__main__.py
@@ -14,7 +14,8 @@
 
 import uvloop
 
-from orchidferry.config import BadConfig, UnreadableConfig, read_config
+from orchidferry.config import Address, BadConfig, UnreadableConfig, read_config
+from orchidferry.listener import SHORTAGES
 from orchidferry.log_output import LineWriter, open_standard_descriptors, set_up_logging
 from orchidferry.node import Node
 
@@ -22,6 +23,8 @@
 LAG_EVERY_S, LAG_S = 1.0, 0.1  # how often the event loop's lag is looked at, and what is worth a line
 # What discovery tells at a new address counts as told 4 s after SIGHUP: a shortage may last this long.
 RELOAD_EVERY_S, RELOAD_TRIES = 0.1, 25
+# A node that restarts has to be ready within 6 s on short days.
+LISTEN_EVERY_S, LISTEN_TRIES = 0.2, 21
 
 log = logging.getLogger("orchidferry")
 
@@ -41,7 +44,7 @@
     loop.add_signal_handler(signal.SIGHUP, reload, node, path)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
     try:
-        host, port = await node.frontend.listen(loop, config.listen)
+        host, port = await listen(node, config.listen)
     except OSError as problem:
         writer.write(f"orchidferry: can't listen on {config.listen[0]}:{config.listen[1]}: {problem}")
         return 2
@@ -60,6 +63,20 @@
     return 0
 
 
+async def listen(node: Node, address: Address) -> Address:
+    """Listen, trying again for a while where descriptors or memory run short; raises `OSError`."""
+    loop = asyncio.get_running_loop()
+    for tries_left in reversed(range(LISTEN_TRIES)):
+        try:
+            return await node.frontend.listen(loop, address)
+        except OSError as problem:
+            if problem.errno not in SHORTAGES or not tries_left:
+                raise
+            log.warning("listening later: %s", problem)
+        await asyncio.sleep(LISTEN_EVERY_S)
+    raise AssertionError("unreachable: the last try returns or raises")
+
+
 def reload(node: Node, path: str, tries_left: int = RELOAD_TRIES) -> None:
     """Take the file as it is now.
 
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -98,6 +98,10 @@
 
     def report(self, rule: Rule, request: str, detail: str) -> None:
         """Note a broken rule."""
+        known = self.requests.get(request)
+        if known is not None:
+            sent_s = self._now_s() - known.sent_s
+            detail += f" (node {known.node}, {known.kind}, {known.budget_s:.3f} s, sent {sent_s:.3f} s ago)"
         self.violations.append(Violation(rule, request, self._now_s(), detail, self._active()))
 
     # Discovery
--- a/tests/test_accept.py
+++ b/tests/test_accept.py
@@ -4,16 +4,22 @@
 
 import asyncio
 import errno
+import functools
 import json
 import os
 import resource
 import signal
 import socket
+from collections.abc import Callable
 from pathlib import Path
-from typing import cast
+from typing import Any, cast
 
 import pytest
 
+from orchidferry.__main__ import listen
+from orchidferry.config import read_config
+from orchidferry.listener import Listener
+from orchidferry.node import Node
 from tests.peers import LIMIT_S, Registry, Server, request, run, until, world
 from tests.test_node import Program
 
@@ -132,3 +138,34 @@
                 caller.close()
 
     run(test())
+
+
+@pytest.mark.parametrize(("error", "tries"), [(errno.EMFILE, 4), (errno.EADDRINUSE, 1)])
+def test_a_shortage_at_the_start_is_waited_out_and_an_address_in_use_is_not(
+    error: int, tries: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Found by the soak: a node that restarted while descriptors ran short ended with status 2."""
+    monkeypatch.setattr("orchidferry.__main__.LISTEN_EVERY_S", 0.01)
+    calls = []
+
+    def fail(real: Callable[..., Listener], *args: Any) -> Listener:
+        calls.append(args)
+        if len(calls) <= 3:
+            raise OSError(error, "forced")
+        return real(*args)
+
+    async def test() -> None:
+        async with world(tmp_path, Server(), start=False) as scene:
+            scene.node = Node(read_config(str(scene.path)), asyncio.get_running_loop())
+            monkeypatch.setattr("orchidferry.frontend.Listener", functools.partial(fail, Listener))
+            if tries > 1:
+                scene.address = await listen(scene.node, ("127.0.0.1", 0))
+                scene.node.start()
+                await until(lambda: scene.node is not None and bool(scene.node._in_service))
+                assert (await scene.ask("a")).status == 200
+            else:
+                with pytest.raises(OSError, match="forced"):
+                    await listen(scene.node, ("127.0.0.1", 0))
+            assert len(calls) == tries
+
+    run(test())
