--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -61,7 +61,7 @@
 SHIM_KINDS = frozenset(
     (FaultKind.CLOCK_STEP, FaultKind.ACCEPT_FAILS, FaultKind.SOCKET_FAILS, FaultKind.LOG_FAILS)
 )
-# Nothing can be answered while nothing can be accepted: for longer than an answer may be late it would be lost.
+# While nothing is accepted nothing is answered: for longer than an answer may be late it would be lost.
 LONGEST_S = {FaultKind.NODE_PAUSE: 0.15, FaultKind.SOCKET_FAILS: 1.0, FaultKind.ACCEPT_FAILS: 0.4}
 SHORTEST_S, USUAL_LONGEST_S = 0.05, 4.0
 FAULTS_PER_S = 1.5
