Times of test_clock_steps by the machine's clock, not by one that began a minute ago

A case failed on a clean clone once the machine had been up for an hour: its list was told at 50 s of the monotonic clock, and a start an hour ago lay after that. The bounds are as strict as before.

--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -78,7 +78,8 @@
         run(test(step_s))
 
 
-TOLD_MS, PREVIOUS_MS = 50_000.0, 49_000.0  # of the list that tells a start, and of the one before it
+TOLD_MS = now_ms()  # of the list that tells a start: by the machine's clock, however long it has been up
+PREVIOUS_MS = TOLD_MS - 1000.0  # of the one before it
 
 
 def listing(since_ms: float, previous_ms: float = PREVIOUS_MS) -> Listing:
