--- a/soak/servers.py
+++ b/soak/servers.py
@@ -107,6 +107,8 @@
         await asyncio.sleep(done_s + work_s * SLOW_TIMES if mode is ServerMode.SLOW else done_s)
         while self.mode is ServerMode.HANG:
             await asyncio.sleep(0.05)
+        if writer.is_closing():
+            return False
         if mode is ServerMode.ERRORS:
             writer.write(frame(500, b"error"))
             return True
@@ -120,6 +122,8 @@
         writer.write(frame(200, body))
         if mode is ServerMode.SECOND_ANSWER:
             await asyncio.sleep(SECOND_ANSWER_S)
+            if writer.is_closing():  # a write would raise
+                return False
             writer.write(frame(200, b"second " + body))
         return True
 
