Split the decision module by concept, one job a file; no decision changes

Change: the retry controller, admission, the request queue, server selection, slow start, outlier ejection, retry policy, idle connections, the list's subscription and the fleet are modules of their own, tied together by nickelbridge/balancer.py; constants stand beside what they govern (HASTE: FIRST_DELAYS, PATIENCE: PATIENT_DELAYS, HOT: GROW_FROM, HOLD_SHARES: of the queue; SLICES and LOST keep their names beside what they cut and lose). In test_property the node that trusts refusals is made by its retry policy, as that is where it lies now.

--- /dev/null
+++ b/nickelbridge/admission.py
@@ -0,0 +1,82 @@
+"""Which first sends are shed or have to wait in the clients' tier.
+
+The share to shed is the PI loop's (the paper's equation 49). Ours: it is taken from what is worth least, and
+calls in flight are limited by Little's law. Deeper in, a refusal would waste the work done above.
+"""
+
+from __future__ import annotations
+
+import random
+
+from nickelbridge import interface as api
+from nickelbridge.averages import ClassRecord, UsualDelay
+from nickelbridge.call import Call
+from nickelbridge.fleet import Fleet
+from nickelbridge.retry_controller import RetryController
+
+WINDOW_SHARE = 0.3  # of the aim: the delay that first sends may reach, by Little's law,
+ADDED = 2.0  # with so many calls a server of this copy's part added, so that copies' windows grow alike
+FEW = 3.0  # while the loop allows retries a window opens to so many calls, as a copy's few calls bunch
+START = 4.0  # calls a server, at first
+RESERVE = 0.15  # of the window is kept for the class of most value
+
+
+def window(controller: RetryController, part: float, now: float) -> float:
+    """How many calls may be outstanding from a copy whose part of the fleet is so many servers."""
+    answers = controller.answers
+    if answers.span_s < 1.0:  # sulcast-later overload: unbounded at first, a tier choked at 2 s
+        return START * part + answers.events
+    answers.count(0.0, now)
+    # i35d8eb: with nothing added it spirals down where the normal delay is over its share of the aim.
+    # Else what is added alone keeps the delay over the target: rota, two calls to boxes that serve one.
+    added = ADDED * part / max(1.0, controller.delay_over_target())
+    usual = added + answers.per_s() * WINDOW_SHARE * controller.mean_aim_s()
+    return usual + max(0.0, FEW - usual) * controller.open_share()
+
+
+class Admission:
+    """Load shedding and the limit of calls in flight."""
+
+    def __init__(
+        self, settings: api.Settings, controller: RetryController, record: ClassRecord, fleet: Fleet,
+        usual: UsualDelay, rng: random.Random,
+    ) -> None:  # fmt: skip
+        self._settings, self._controller, self._record = settings, controller, record
+        self._fleet, self._usual, self._rng = fleet, usual, rng
+        self._aims_ms = {cls.name: cls.aim_ms for cls in settings.classes}
+
+    def window(self, part: float, now: float) -> float:
+        """How many calls may be outstanding from a copy whose part of the fleet is so many servers."""
+        return window(self._controller, part, now)
+
+    def sheds(self, call: Call, now: float) -> bool:
+        """Whether the loop has this call shed: it takes its share from those of least value first."""
+        shed = 0.0 if self._settings.tier else self._controller.shed_share(now)
+        if not shed:
+            return False
+        values = {name: self.value(name, False) for name in self._aims_ms}
+        own = self.value(call.cls.name, call.over_share)
+        less = sum(self._record.mix[name] for name, value in values.items() if value < own)
+        return self._rng.random() * self._record.mix[call.cls.name] < shed - less
+
+    def crowded(self, call: Call, inflight: int, now: float) -> bool:
+        """Whether the clients' tier has as many calls outstanding as the delay target bears."""
+        room = self.window(self._fleet.slice, now)
+        if self._settings.tier or inflight < (1.0 - RESERVE) * room:
+            return False
+        # sulcast-porto-alegre silent+leave+brisk 12: of a window of 8 two stood on connections that had died.
+        # It lets in a few too many where a class has far longer calls than the rest of them.
+        usual = self._usual.share
+        working = inflight - sum(server.lost_calls(now, usual) for server in self._fleet.ready)
+        best = max(self.value(name, False) for name in self._aims_ms)
+        full = working >= (1.0 - RESERVE) * room
+        return full and (working >= room or self.value(call.cls.name, call.over_share) < best)
+
+    def value(self, name: str, over_share: bool) -> float:
+        """What an answer to a class is worth to the operators, for the time that it takes."""
+        record, settings = self._record, self._settings
+        worth = record.worth[name] / record.mean_worth()
+        if record.in_time[name] <= record.worst():  # strict order of worth would starve it
+            worth += settings.worst_class / record.mix[name]
+        worth *= settings.over_share_worth if over_share else 1.0  # a flooding tenant waits behind
+        return worth / max(1.0, record.delay_ms[name] or self._usual.share * self._aims_ms[name])
--- a/nickelbridge/averages.py
+++ b/nickelbridge/averages.py
@@ -1,4 +1,4 @@
-"""Averages of what was observed; what follows from them is decided in `nickelbridge.logic`."""
+"""Averages of what was observed; what follows from them is decided elsewhere."""
 
 from __future__ import annotations
 
@@ -8,6 +8,8 @@
 
 from nickelbridge import interface as api
 
+PEER_SAMPLES = 100.0  # answers over which what is usual among all servers is averaged
+
 
 class Rate:
     """Events a second, forgotten with a time constant; the clock starts with the first event."""
@@ -71,6 +73,20 @@
         return len(self._times)
 
 
+class UsualDelay:
+    """The usual delay of an answer, as a share of its class's aim."""
+
+    __slots__ = ("samples", "share")
+
+    def __init__(self) -> None:
+        self.samples = self.share = 0.0
+
+    def note(self, share: float) -> None:
+        """Take the delay of one answer over its aim."""
+        self.samples = min(self.samples + 1.0, PEER_SAMPLES)
+        self.share += (share - self.share) / self.samples
+
+
 class ClassRecord:
     """How each class of requests fares, in averages over so many requests."""
 
--- /dev/null
+++ b/nickelbridge/balancer.py
@@ -0,0 +1,274 @@
+"""One copy's decisions: takes the node's events and says what to do.
+
+Retries are admitted with the probability that RTDC's PI loop allows (Hong, Huang and Yan, section V.B);
+first sends follow a smooth weighted rotation. docs/design.md says what is kept, changed and why. Each concept
+has a module of its own; this one ties them together. Events and actions are in `nickelbridge.interface`.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+
+from nickelbridge import interface as api
+from nickelbridge.admission import Admission
+from nickelbridge.averages import PEER_SAMPLES, ClassRecord, UsualDelay
+from nickelbridge.bucket import Bucket
+from nickelbridge.call import Call
+from nickelbridge.fleet import Fleet
+from nickelbridge.idle_connections import IdleLimit
+from nickelbridge.interface import ListKind, Repeat, Result
+from nickelbridge.list_subscription import wait_before_asking_ms
+from nickelbridge.outlier_ejection import OutlierEjection
+from nickelbridge.request_queue import RequestQueue
+from nickelbridge.retry_controller import SAMPLES, RetryController
+from nickelbridge.retry_policy import RetryPolicy
+from nickelbridge.server import Server
+from nickelbridge.server_selection import ServerSelector
+from nickelbridge.slow_start import SlowStart
+
+QUOTA_MS = 1_000.0  # of its quota is what a tenant may send at once
+GROW_FROM = 1.0  # calls out a server from which a copy doubles its slices of the fleet
+SUBSCRIBE_TOKEN = 0  # of the timer after which the list is asked for again
+
+
+class Balancer:
+    """One copy's decisions: feed it events, do what it says."""
+
+    def __init__(self, settings: api.Settings, salt: int) -> None:
+        self.settings = settings
+        self.classes = {cls.name: cls for cls in settings.classes}
+        self._rng = random.Random(salt)
+        self.controller = RetryController()
+        self.inflight = 0  # attempts out
+        self.usual_delay = UsualDelay()
+        self.record = ClassRecord(settings.classes, PEER_SAMPLES)
+        self.fleet = Fleet(settings, self._rng)
+        self.admission = Admission(
+            settings, self.controller, self.record, self.fleet, self.usual_delay, self._rng
+        )
+        self.retry_policy = RetryPolicy(settings, self._rng)
+        self._slow_start = SlowStart(settings, self.controller)
+        self._selector = ServerSelector(self.fleet, self._slow_start, self.usual_delay, self._rng)
+        self._ejection = OutlierEjection(self._rng)
+        self._queue = RequestQueue()
+        self._idle_limit = IdleLimit(settings.keepalive_ms)
+        self._quotas: dict[str | None, tuple[float, Bucket]] = {  # this copy's part of each tenant's
+            tenant.name: (tenant.quota_per_s / settings.nodes / 1000.0, Bucket(math.inf, 0.0))
+            for tenant in settings.tenants
+            if tenant.quota_per_s
+        }
+        self._calls: dict[str, Call] = {}
+        self._waiting: dict[int, Call] = {}  # by timer token
+        self._token = SUBSCRIBE_TOKEN  # that of the last timer
+        self._actions: list[api.Action] = []
+
+    def handle(self, event: api.Event, now_ms: float) -> list[api.Action]:
+        """Take one event; what to do about it."""
+        self._actions = []
+        match event:
+            case api.Request():
+                self._on_request(event, now_ms)
+            case api.AttemptEnded():
+                self._on_ended(event, now_ms)
+            case api.TimerFired():
+                self._on_timer(event, now_ms)
+            case api.ServerList():
+                self._on_list(event, now_ms)
+            case api.ClientGone():
+                self._calls.pop(event.id, None)
+            case api.Started() if self.settings.follow_list:
+                self._actions.append(api.Subscribe())
+        return self._actions
+
+    # First sends
+
+    def _on_request(self, event: api.Request, now: float) -> None:
+        call = self._calls[event.id] = Call(event, self.classes[event.cls], now)
+        self.record.asked(event.cls)
+        self.retry_policy.count_request(now)
+        if event.tenant in self._quotas:
+            per_ms, bucket = self._quotas[event.tenant]
+            call.over_share = not bucket.take(per_ms, max(1.0, QUOTA_MS * per_ms), now)
+        if self.admission.sheds(call, now):
+            return self._end(call)
+        self._attempt(call, now)
+
+    def _attempt(self, call: Call, now: float) -> None:
+        crowded = self.admission.crowded(call, self.inflight, now)
+        server = None if crowded else self._selector.pick(call, now)
+        if crowded or (server is None and call.first_run_ms is None and self.fleet.ready):
+            self._enqueue(call, now)
+        elif server is None or not self._send(call, server, now):
+            self._wait_or_end(call, now)
+
+    def _enqueue(self, call: Call, now: float) -> None:
+        """Keep a call back while an answer within its aim is still possible."""
+        slack_ms = 2.0 * self.settings.tick_ms
+        wait_ms = self._queue.latest_ms(call, self.settings.tier) - now
+        if wait_ms <= slack_ms:
+            return self._end(call)
+        self._queue.add(call)
+        self._set_timer(call, wait_ms - slack_ms)
+
+    def _release(self, now: float) -> None:
+        """Send queued calls as room comes up, those of most worth first."""
+        for queue in self._queue.by_value(self.admission.value):
+            while queue:
+                call = queue[0]
+                if call.queued and call.id in self._calls:
+                    crowded = self.admission.crowded(call, self.inflight, now)
+                    server = None if crowded else self._selector.pick(call, now)
+                    if server is None:
+                        break
+                    call.queued, call.timer_token = False, 0
+                    if not self._send(call, server, now):
+                        self._wait_or_end(call, now)
+                queue.popleft()
+
+    # Attempts
+
+    def _send(self, call: Call, server: Server, now: float) -> bool:
+        """The one gate that every send passes: rules 1 to 6."""
+        if not self._may_send(call, server, now):
+            return False
+        cls, left_ms = call.cls, call.ends_ms - now
+        if call.attempts:
+            self.retry_policy.count_retry(now)
+        call.attempts += 1
+        call.out, call.last_server, call.sent_ms = True, server, now
+        self.inflight += 1
+        if self.inflight > GROW_FROM * len(self.fleet.ready):
+            self.fleet.grow(now)
+        call.idle_ms = 0.0 if server.calls else now - server.used_ms
+        if self._idle_limit.exceeded(call.idle_ms):  # Rosario fresh-big: sent on a dropped one, it is lost
+            self._actions.append(api.CloseIdle(server.id))
+            call.idle_ms = 0.0
+        server.calls[call.id] = now, cls.aim_ms
+        measured = self.usual_delay.samples >= SAMPLES
+        timeout_ms = self.retry_policy.attempt_timeout_ms(call, left_ms, self.usual_delay.share, measured)
+        within_ms = self.retry_policy.repeat_ends_ms(call) - now
+        fresh = cls.repeat is Repeat.UNSAFE  # on a new connection: a loss could not be made good
+        self._actions.append(api.Send(call.id, server.id, timeout_ms, fresh, within_ms))
+        return True
+
+    def _may_send(self, call: Call, server: Server, now: float) -> bool:
+        """Whether the rules let the call go to the server; takes from a cold one's budget."""
+        cls, policy = call.cls, self.retry_policy
+        if call.id not in self._calls or call.out or call.ends_ms - now <= self.settings.tick_ms:
+            return False  # rule 1
+        if call.attempts >= self.settings.max_attempts or not policy.repeatable(call, now):
+            return False  # rule 2
+        if call.first_run_ms is not None and server.group(cls.group) != call.repeat_group:
+            return False  # rule 2
+        if not server.in_service or not self.fleet.holds(server):
+            return False  # rule 3
+        if call.attempts and not policy.in_budget(now):
+            return False  # rule 5
+        warmth = self._slow_start.warmth(server, now)
+        if warmth < 1.0:
+            if self._slow_start.budget(server, warmth, self.fleet.parts, now) < 1.0:
+                return False  # rule 4
+            server.budget.tokens -= 1.0
+        return True
+
+    def _wait_or_end(self, call: Call, now: float, waited_ms: float = 0.0) -> None:
+        """Wait for the next attempt, where one can still be made in time."""
+        wait_ms = self.retry_policy.next_wait_ms(call, now, self.usual_delay.share, waited_ms)
+        if wait_ms is None:
+            self._end(call)
+        else:
+            self._set_timer(call, wait_ms)
+
+    def _end(self, call: Call) -> None:
+        """The one way to end a request unserved: refused where a repeat is harmless, else failed."""
+        if self._calls.pop(call.id, None):
+            self.record.ended(call.cls.name, False)
+            everywhere = call.cls.repeat is Repeat.KEYED and call.cls.group is api.Group.ALL
+            repeatable = call.first_run_ms is None or everywhere or call.cls.repeat is Repeat.SAFE
+            harmless = not call.out and repeatable
+            # It says that the tier bears no more now: a client back in 17 ms, as a retry is, fed the jam.
+            advice_ms = self.settings.max_retry_after_ms
+            self._actions.append(api.Refuse(call.id, advice_ms) if harmless else api.Fail(call.id))
+
+    def _set_timer(self, call: Call, delay_ms: float) -> None:
+        self._token = call.timer_token = self._token + 1
+        self._waiting[call.timer_token] = call
+        self._actions.append(api.SetTimer(self._token, delay_ms))
+
+    def _on_timer(self, event: api.TimerFired, now: float) -> None:
+        if event.token == SUBSCRIBE_TOKEN:
+            self._actions.append(api.Subscribe())
+        call = self._waiting.pop(event.token, None)
+        if call and call.timer_token == event.token and call.id in self._calls:
+            if call.queued:
+                self._end(call)
+            else:
+                self._attempt(call, now)
+
+    # Outcomes
+
+    def _on_ended(self, event: api.AttemptEnded, now: float) -> None:
+        call, server = self._calls.get(event.id), self.fleet.servers.get(event.server)
+        self.inflight -= 1
+        if server is not None:
+            self._take_outcome(server, call, event, now)
+        if call is not None and event.settled:
+            del self._calls[event.id]
+            self.record.ended(call.cls.name, now - call.arrived_ms <= call.cls.aim_ms)
+            self.record.answered(call.cls.name, event.duration_ms)
+        elif call is not None:
+            self._retry(call, event, now)
+        self._release(now)
+
+    def _take_outcome(self, server: Server, call: Call | None, event: api.AttemptEnded, now: float) -> None:
+        # None: sent before the server started anew, or left the list and came back: no news of it.
+        sent = server.calls.pop(event.id, None)
+        server.used_ms = now
+        if call is not None and call.idle_ms:
+            usual_ms = self.usual_delay.share * call.cls.aim_ms
+            self._idle_limit.judge(call.idle_ms, event.result, event.duration_ms, usual_ms)
+        if sent is None:
+            return
+        if event.report:
+            server.queue, server.report_ms = event.report.get("queue", 0.0), now
+        self._ejection.learn(server, event.result, self.fleet.ready, now)
+        self._measure(server, *sent, event, now)
+
+    def _retry(self, call: Call, event: api.AttemptEnded, now: float) -> None:
+        """Try a call again whose attempt has failed, as the loop and the class allow, or end it."""
+        call.out = False
+        if call.first_run_ms is None and call.last_server and self.retry_policy.may_have_run(event.result):
+            call.first_run_ms, call.repeat_group = call.sent_ms, call.last_server.group(call.cls.group)
+        if self._rng.random() < self.controller.retry_probability(now):
+            # As the paper's timer runs from the send, a time-out has been waited for already.
+            timed_out = event.result is Result.TIMEOUT
+            self._wait_or_end(call, now, event.duration_ms if timed_out else 0.0)
+        else:
+            self._end(call)
+
+    def _measure(
+        self, server: Server, sent_ms: float, aim_ms: float, event: api.AttemptEnded, now: float
+    ) -> None:
+        """What an outcome tells of the delay, also if nobody waits for the answer any more.
+
+        Callers that leave early leave what takes long: without theirs, delay and answer rate come out low.
+        """
+        if event.result in (Result.SERVED, Result.TIMEOUT):
+            served = event.result is Result.SERVED
+            self.usual_delay.note(event.duration_ms / aim_ms)
+            usual = self.usual_delay.share
+            if usual and (served or sent_ms >= server.latest_served_ms):
+                server.judge_delay(event.duration_ms / aim_ms / usual, now)
+            if served:
+                server.latest_served_ms = max(server.latest_served_ms, sent_ms)
+            self.controller.answered(event.duration_ms, aim_ms, now, served)
+        elif event.result is Result.REFUSED:  # full is as slow as a server gets
+            self.controller.answered(aim_ms, aim_ms, now, False)
+
+    def _on_list(self, event: api.ServerList, now: float) -> None:
+        if event.kind is ListKind.FAILED:
+            wait_ms = wait_before_asking_ms(self.settings.ask_every_ms, self._rng)
+            return self._actions.append(api.SetTimer(SUBSCRIBE_TOKEN, wait_ms))
+        self.fleet.apply(event, now)
+        self._release(now)
--- /dev/null
+++ b/nickelbridge/outlier_ejection.py
@@ -0,0 +1,57 @@
+"""Servers that fail much more often than their peers are kept out for a while. The paper names none: ours."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Sequence
+
+from nickelbridge.averages import PEER_SAMPLES
+from nickelbridge.interface import Result
+from nickelbridge.server import Server
+
+EJECT_MS, EJECT_DOUBLINGS = 1_000.0, 5  # the first time out; how often it doubles
+EJECT_SHARE = 0.5  # of the servers may be out at once for errors
+EJECT_LOG_ODDS = math.log(30.0)  # from which a server is ejected for its errors
+BAD_RATIO, ERROR_FLOOR = 0.5, 0.01  # the share of errors to suspect; the least that peers are taken for
+LIMIT_CUT = 0.9  # what a server may hold from here after it has turned an attempt away
+
+
+class OutlierEjection:
+    """Judges servers by the outcomes of their attempts."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._errors = 0.0  # the share of all recent attempts
+
+    def learn(self, server: Server, result: Result, ready: Sequence[Server], now: float) -> None:
+        """What an outcome tells of the server's health; `ready` are its peers and itself."""
+        if result in (Result.REFUSED, Result.UNREACHABLE):
+            held = min(server.inflight_limit, float(server.inflight))
+            server.inflight_limit = max(1.0, held * LIMIT_CUT)
+            if result is Result.UNREACHABLE and not server.inflight:  # down, or out of connections
+                self._eject(server, now)
+        elif result is Result.SERVED:
+            server.inflight_limit += 1.0 / server.inflight_limit
+        if result in (Result.SERVED, Result.ERROR, Result.RESET):
+            self._weigh(server, result is not Result.SERVED, ready, now)
+
+    def _weigh(self, server: Server, bad: bool, ready: Sequence[Server], now: float) -> None:
+        # Fast errors look like low delay: weigh failing half its calls against failing like its peers.
+        peers = max(ERROR_FLOOR, min(self._errors, BAD_RATIO))
+        self._errors += (bad - self._errors) / PEER_SAMPLES
+        step = math.log(BAD_RATIO / peers) if bad else math.log((1.0 - BAD_RATIO) / (1.0 - peers))
+        server.error_log_odds = max(0.0, server.error_log_odds + step)
+        if server.error_log_odds >= EJECT_LOG_ODDS:
+            if sum(now < other.ejected_until_ms for other in ready) < EJECT_SHARE * len(ready):
+                self._eject(server, now)
+            server.error_log_odds = EJECT_LOG_ODDS / 2.0  # on its return it is on probation
+        elif not server.error_log_odds:
+            server.ejections = 0
+
+    def _eject(self, server: Server, now: float) -> None:
+        """Keep away for a while, longer each time in a row, with jitter; it then returns by itself."""
+        if now >= server.ejected_until_ms:
+            doubled = 2.0 ** min(server.ejections, EJECT_DOUBLINGS)
+            server.ejected_until_ms = now + EJECT_MS * doubled * (0.5 + self._rng.random())
+            server.ejections += 1
--- a/nickelbridge/wirehost.py
+++ b/nickelbridge/wirehost.py
@@ -12,7 +12,7 @@
 from typing import TextIO
 
 from nickelbridge import interface as api
-from nickelbridge.logic import Balancer
+from nickelbridge.balancer import Balancer
 from nickelbridge.settings import NUMBER, Json, Malformed, get, objects, opt, read_settings, word
 
 HEALTH = {
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -14,9 +14,9 @@
 from collections import deque
 
 from nickelbridge import interface as api
+from nickelbridge.balancer import Balancer
 from nickelbridge.bucket import Bucket
 from nickelbridge.interface import Result
-from nickelbridge.logic import Balancer
 from orchidferry.caller import Requester
 from orchidferry.config import Address, Config, Listing, now_ms
 from orchidferry.discovery import Discovery
--- a/tests/broken_nodes.py
+++ b/tests/broken_nodes.py
@@ -45,7 +45,8 @@
 
 
 GUARD = "orchidferry/send_guard.py"
-CALLER, NODE, LOGIC = "orchidferry/caller.py", "orchidferry/node.py", "nickelbridge/logic.py"
+CALLER, NODE, RETRIES = "orchidferry/caller.py", "orchidferry/node.py", "nickelbridge/retry_policy.py"
+SELECTION = "nickelbridge/server_selection.py"
 BROKEN_NODES = (
     BrokenNode(
         "callers that have gone are not noticed", Rule.GONE,
@@ -62,13 +63,13 @@
     ),
     BrokenNode(
         "an unsafe request is sent again", Rule.DUPLICATE, (FaultKind.PROXY_RESET, FaultKind.SERVER_ERRORS),
-        (Patch(LOGIC, "if call.ran_ms is None or call.cls.repeat is Repeat.SAFE:", "if True:"),
+        (Patch(RETRIES, "if call.first_run_ms is None or call.cls.repeat is Repeat.SAFE:", "if True:"),
          Patch(GUARD, "if attempts.may_have_run and", "if False and")),
     ),
     BrokenNode(
         "an unsafe request is sent again, and the node's own gate holds it back", Rule.INVARIANT,
         (FaultKind.PROXY_RESET, FaultKind.SERVER_ERRORS),
-        (Patch(LOGIC, "if call.ran_ms is None or call.cls.repeat is Repeat.SAFE:", "if True:"),),
+        (Patch(RETRIES, "if call.first_run_ms is None or call.cls.repeat is Repeat.SAFE:", "if True:"),),
     ),
     BrokenNode(
         "the deadline is passed on as it came", Rule.DEADLINE,
@@ -78,11 +79,12 @@
     BrokenNode(
         "cold servers get all that there is, whatever they hold", Rule.FAILBACK,
         (FaultKind.SERVER_RESTART,),
-        (Patch(LOGIC, "if self.started_ms is None or not settings.ramp_time_ms:\n            return 1.0",
-               "return 1.0 if self.started_ms is None else 50.0"),
-         Patch(LOGIC, "server.part * warmth * server.pace(now, self._share)", "server.part * warmth"),
-         Patch(LOGIC, "if server.inflight < server.limit: ", ""),
-         Patch(LOGIC, "if holds <= least]", "]")),
+        (Patch("nickelbridge/slow_start.py",
+               "if server.started_ms is None or not settings.ramp_time_ms:\n            return 1.0",
+               "return 1.0 if server.started_ms is None else 50.0"),
+         Patch(SELECTION, "server.part * warmth * server.speed(now, usual)", "server.part * warmth"),
+         Patch(SELECTION, "if server.inflight < server.inflight_limit:", "if True:"),
+         Patch(SELECTION, "if load <= least]", "]")),
     ),
     BrokenNode(
         "a planned end closes connections over requests", Rule.LOST, (FaultKind.NODE_STOP,),
--- a/tests/coldfleet.py
+++ b/tests/coldfleet.py
@@ -16,8 +16,8 @@
 from functools import partial
 
 from nickelbridge import interface as api
+from nickelbridge.balancer import Balancer
 from nickelbridge.interface import Result
-from nickelbridge.logic import Balancer
 
 START, RAMP_MS, FACTOR, SPAN_MS = 0.2, 10_000.0, 2.5, 1_500.0
 HOP_MS = 1.0  # each way
--- a/tests/test_logic.py
+++ b/tests/test_balancer.py
@@ -7,8 +7,12 @@
 import pytest
 
 from nickelbridge import interface as api
-from nickelbridge import logic
+from nickelbridge.admission import START
+from nickelbridge.balancer import Balancer
+from nickelbridge.fleet import SLICES
 from nickelbridge.interface import Result
+from nickelbridge.list_subscription import ASK_LONGEST_MS
+from nickelbridge.retry_policy import RETRY_WAIT_MS, RETRY_WAIT_SHARE
 from tests.helpers import Node, ends, entries, sends, timers
 
 
@@ -134,7 +138,7 @@
         assert timer.delay_ms < node.balancer.settings.ask_every_ms / 4
         seldom = Node(salt=salt, follow_list=True, ask_every_ms=60_000.0)
         [timer] = timers(seldom.do(api.ServerList(api.ListKind.FAILED)))
-        assert timer.delay_ms <= logic.ASK_LONGEST_MS  # the sum of waits counts on it
+        assert timer.delay_ms <= ASK_LONGEST_MS  # the sum of waits counts on it
     assert len(delays) == 5
 
 
@@ -155,9 +159,9 @@
         node.ask(f"down-{n}", "unsafe")
         node.end(f"down-{n}", Result.UNREACHABLE if node.sent[f"down-{n}"][0] == 1 else Result.SERVED, 5.0)
     old = node.balancer.fleet.servers[1]
-    assert old.limit < math.inf and old.shut_ms > node.now and old.budget.tokens >= 1.0
+    assert old.inflight_limit < math.inf and old.ejected_until_ms > node.now and old.budget.tokens >= 1.0
     while "late" not in node.sent or node.sent["late"][-1] != 1:
-        old.shut_ms, node.sent["late"] = -math.inf, []
+        old.ejected_until_ms, node.sent["late"] = -math.inf, []
         node.ask("late")
         if node.sent["late"][-1] != 1:
             node.end("late", Result.SERVED, 5.0)
@@ -165,10 +169,10 @@
     assert node.balancer.fleet.servers[1] is old  # the same start, read by another clock
     node.change(api.ServerEntry(1, "z", "k", 1, started_ms=node.now))
     new = node.balancer.fleet.servers[1]
-    assert (new.limit, new.shuts, new.slowness, new.inflight) == (math.inf, 0, 1.0, 0)
+    assert (new.inflight_limit, new.ejections, new.slowness, new.inflight) == (math.inf, 0, 1.0, 0)
     assert new.budget.tokens < 1.0
     node.end("late", Result.RESET)  # of the old process: it tells nothing of the new
-    assert not new.suspicion and not new.slowness > 1.0
+    assert not new.error_log_odds and not new.slowness > 1.0
 
 
 def test_a_new_copy_gets_on_where_all_servers_are_cold() -> None:
@@ -215,9 +219,9 @@
         node.ask(id)
         node.end(id, Result.SERVED, 400.0 if node.sent[id][0] == 0 else 50.0)
     slow = node.balancer.fleet.servers[0]
-    assert slow.pace(node.now, 0.0) < 0.5
+    assert slow.speed(node.now, 0.0) < 0.5
     assert node.serve(20, gap_ms=0.0).count(0) <= 2  # a fair part is 5
-    assert slow.pace(node.now + 60_000.0, 0.0) == pytest.approx(1.0)
+    assert slow.speed(node.now + 60_000.0, 0.0) == pytest.approx(1.0)
 
 
 def test_a_server_that_fails_fast_is_ejected_and_returns() -> None:
@@ -240,7 +244,7 @@
     for n in range(80):
         node.ask(f"e{n}", "unsafe")
         node.end(f"e{n}", Result.ERROR, 20.0)
-        assert sum(node.now < server.shut_ms for server in node.balancer.fleet.ready) <= 2
+        assert sum(node.now < server.ejected_until_ms for server in node.balancer.fleet.ready) <= 2
 
 
 def test_copies_share_a_large_fleet_out_evenly() -> None:
@@ -250,12 +254,12 @@
     for number in range(40):
         fleet = Node(60, nodes=40, number=number).balancer.fleet
         assert len(fleet.ready) < 30
-        assert math.isclose(sum(server.part for server in fleet.ready), logic.SLICES * 60 / 40)
+        assert math.isclose(sum(server.part for server in fleet.ready), SLICES * 60 / 40)
         for server in fleet.ready:
             callers[server.id] += 1
             load[server.id] += server.part
     assert max(callers.values()) <= 40 / 2
-    assert all(math.isclose(part, logic.SLICES) for part in load.values())
+    assert all(math.isclose(part, SLICES) for part in load.values())
 
 
 def test_a_hot_caller_takes_more_of_the_fleet() -> None:
@@ -384,7 +388,7 @@
     node.serve(200, "unsafe")
     n = fill(node)
     assert sends(node.ask("dear", "unsafe"))
-    room = node.balancer.controller.window(2.0, node.now)
+    room = node.balancer.admission.window(2.0, node.now)
     assert n < room <= n + 3
 
 
@@ -428,7 +432,7 @@
     for n in range(40):
         node.ask(f"f{n}")
         node.end(f"f{n}", Result.UNREACHABLE, 100.0)
-    assert node.balancer.controller.window(4.0, node.now) == logic.START * 4.0
+    assert node.balancer.admission.window(4.0, node.now) == START * 4.0
     assert sends(node.ask("later"))
 
 
@@ -493,7 +497,7 @@
     """Four times 0.1 ms is less than a loop's own jitter, and the retry waited its back-off all the same."""
     node = Node()
     node.serve(40, delay_ms=0.1)
-    back_off_ms = min(logic.RETRY_WAIT_MS, logic.RETRY_WAIT_SHARE * 1000.0)
+    back_off_ms = min(RETRY_WAIT_MS, RETRY_WAIT_SHARE * 1000.0)
     [first] = sends(node.ask("a"))
     assert first.timeout_ms == pytest.approx(back_off_ms)
     [timer] = timers(node.end("a", Result.TIMEOUT, first.timeout_ms))
@@ -531,8 +535,8 @@
         assert sends(node.ask(id, "unsafe"))
     node.now += 1.0
     node.serve(1)
-    room = node.balancer.controller.window(1.0, node.now + 300.0)
-    node.balancer.controller.window = lambda part, now: 3.0  # type: ignore[method-assign]
+    room = node.balancer.admission.window(1.0, node.now + 300.0)
+    node.balancer.admission.window = lambda part, now: 3.0  # type: ignore[method-assign]
     assert room > 0.0 and not sends(node.ask("held", "unsafe"))
     node.now += 300.0
     assert sends(node.ask("room", "unsafe"))
@@ -544,7 +548,7 @@
     for n in range(100):
         node.ask(f"a{n}")
     first = list(node.sent)
-    assert logic.START * 4 * 0.8 <= len(first) <= logic.START * 4
+    assert START * 4 * 0.8 <= len(first) <= START * 4
     for id in first[:10]:
         node.end(id, Result.SERVED, 1.0)
     assert len(node.sent) >= len(first) + 18  # each answer lets two out: its own place and one more
@@ -601,12 +605,12 @@
     """Kolin big-1: servers that held too many calls tipped one after another, and stayed so."""
     node = Node(servers=4)
     node.serve(100, delay_ms=50.0)
-    assert node.balancer.controller.shed(node.now) == 0.0
+    assert node.balancer.controller.shed_share(node.now) == 0.0
     for n in range(30):
         node.ask(f"slow{n}", "unsafe")
         if node.sent.get(f"slow{n}"):
             node.end(f"slow{n}", Result.SERVED, 900.0)
-    assert node.balancer.controller.shed(node.now) > 0.3
+    assert node.balancer.controller.shed_share(node.now) > 0.3
     cheap = sum(bool(sends(node.ask(f"cheap{n}"))) for n in range(100))
     assert cheap < 70  # the class of least value goes first
     deeper = Node(servers=4, tier=1)
@@ -622,7 +626,7 @@
         node.ask(f"f{n}", "unsafe")
         if node.sent.get(f"f{n}"):
             node.end(f"f{n}", Result.REFUSED, 5.0)
-    assert node.balancer.controller.shed(node.now) > 0.0
+    assert node.balancer.controller.shed_share(node.now) > 0.0
 
 
 def test_a_call_overdue_takes_its_servers_weight_before_it_ends() -> None:
@@ -659,11 +663,11 @@
     """Callers that leave early leave what takes long: delay and answer rate came out low without theirs."""
     node = Node(servers=2)
     node.serve(20)
-    share, answers = node.balancer._share, node.balancer.controller.answers.events
+    share, answers = node.balancer.usual_delay.share, node.balancer.controller.answers.events
     node.ask("left")
     node.do(api.ClientGone("left"), 10.0)
     node.end("left", Result.SERVED, 800.0, settled=True)
-    assert node.balancer._share > 1.2 * share
+    assert node.balancer.usual_delay.share > 1.2 * share
     assert node.balancer.controller.answers.events > 0.8 * answers + 0.9
     node.ask("left late")
     node.do(api.ClientGone("left late"), 10.0)
@@ -784,7 +788,7 @@
 def test_a_hot_copy_takes_no_more_slices_than_there_are() -> None:
     """They doubled with each send without end, and the whole fleet was cut anew each time."""
     settings = api.Settings([api.RequestClass("read", 1000.0, 3000.0)], nodes=20, tier=1, tiers=2)
-    balancer = logic.Balancer(settings, 1)
+    balancer = Balancer(settings, 1)
     balancer.handle(api.ServerList(api.ListKind.FULL, 1, [api.ServerEntry(n) for n in range(4)]), 0.0)
     for n in range(200):
         balancer.handle(api.Request(f"{n}", "read", 3000.0), float(n))
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -357,7 +357,7 @@
             await until(lambda: scene.node is not None and not scene.node._attempts)
             balancer = scene.node._balancer
             assert balancer.inflight == 0
-            assert all(not s.inflight and not s.out for s in balancer.fleet.servers.values())
+            assert all(not s.inflight for s in balancer.fleet.servers.values())
 
     run(test())
 
@@ -378,8 +378,8 @@
             own, module = scene.node, scene.node._balancer
             assert not own._live and not own._open_ids and not own._attempts and not own._events
             assert len(own._addresses) == len(own._in_service) == len(module.fleet.servers) == 1
-            assert not module._calls and not module._waiting and not any(module._held.values())
-            assert len(module._taken._times) + len(module._further._times) <= 2
+            assert not module._calls and not module._waiting and not any(module._queue._queues.values())
+            assert len(module.retry_policy._taken._times) + len(module.retry_policy._further._times) <= 2
             assert own._upstream.count() <= 1 and sum(map(len, own._upstream._idle.values())) <= 1
 
     run(test())
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -35,12 +35,11 @@
     assert scene.node is not None
     module = scene.node._balancer
     names = {scene.node._addresses[id]: id for id in module.fleet.servers}
-    return {
-        server.name: module.fleet.servers[names["127.0.0.1", int(server.address.rpartition(":")[2])]].warmth(
-            now_ms(), module.settings
-        )
-        for server in scene.servers
+    by_name = {
+        server.name: names["127.0.0.1", int(server.address.rpartition(":")[2])] for server in scene.servers
     }
+    now = now_ms()
+    return {name: module._slow_start.warmth(module.fleet.servers[id], now) for name, id in by_name.items()}
 
 
 async def told(scene: World, entries: list[dict[str, object]]) -> None:
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -4,10 +4,11 @@
 
 import pytest
 
-from nickelbridge.logic import ADDED, PHASE_MARGIN, START, WINDOW_SHARE, DelayController
+from nickelbridge.admission import ADDED, START, WINDOW_SHARE, window
+from nickelbridge.retry_controller import PHASE_MARGIN, RetryController
 
 
-def steady(controller: DelayController, delay_ms: float, count: int, gap_ms: float = 100.0) -> float:
+def steady(controller: RetryController, delay_ms: float, count: int, gap_ms: float = 100.0) -> float:
     now = 0.0
     for _ in range(count):
         now += gap_ms
@@ -17,27 +18,27 @@
 
 def test_gains_follow_equations_40_and_41() -> None:
     assert math.degrees(PHASE_MARGIN) == pytest.approx(45.0)
-    controller = DelayController()
+    controller = RetryController()
     # tan 45 = 1: KP = KI = nu1 / sqrt 2
     assert controller._kp == pytest.approx(0.7071068)
     assert controller._ki == pytest.approx(0.7071068)
 
 
 def test_delay_under_the_target_opens_retries() -> None:
-    controller = DelayController()
+    controller = RetryController()
     now = steady(controller, 100.0, 50)
     assert controller.retry_probability(now) == 1.0
 
 
 def test_delay_over_the_target_closes_retries() -> None:
-    controller = DelayController()
+    controller = RetryController()
     now = steady(controller, 2000.0, 50)
     assert controller.retry_probability(now) == 0.0
 
 
 def test_integral_and_rate_by_hand() -> None:
     """Two answers of 100 ms, aim 1 s, one second apart: tau0 = 0.4 s, e = 0.3 s."""
-    controller = DelayController()
+    controller = RetryController()
     controller.answered(100.0, 1000.0, 1000.0, True)
     # nu1 = 1 / 1 s; a fresh copy starts with its integral at nu1, where both are clamped.
     assert controller.tuned_rate == pytest.approx(1.0)
@@ -56,31 +57,31 @@
 
 def test_the_integral_gets_the_whole_time_between_answers() -> None:
     """i45f18d: the window reads the rate for every request, and took the integral's time away."""
-    plain, watched = DelayController(), DelayController()
+    plain, watched = RetryController(), RetryController()
     for controller in (plain, watched):
         now = 1000.0
         for _ in range(30):
             now += 200.0
             if controller is watched:
-                controller.window(1.0, now - 10.0)
+                window(controller, 1.0, now - 10.0)
             controller.answered(700.0, 1000.0, now, True)
     assert watched.integral == pytest.approx(plain.integral, rel=0.01)
-    assert 0.0 < plain.shed(now) < 1.0
+    assert 0.0 < plain.shed_share(now) < 1.0
 
 
 def test_what_is_shed_fades_with_its_evidence() -> None:
     """i45f18d: copies shed 80% on samples ten seconds old, and so saw no answers that could tell."""
-    controller = DelayController()
+    controller = RetryController()
     now = steady(controller, 2000.0, 50)
-    shed = controller.shed(now)
+    shed = controller.shed_share(now)
     assert shed > 0.5
-    assert controller.shed(now + 20_000.0) <= 0.2 * shed
+    assert controller.shed_share(now + 20_000.0) <= 0.2 * shed
     controller.answered(100.0, 1000.0, now + 20_000.0, True)
-    assert controller.shed(now + 20_000.0) < 0.5 * shed
+    assert controller.shed_share(now + 20_000.0) < 0.5 * shed
 
 
 def test_gains_are_kept_inside_the_retune_band() -> None:
-    controller = DelayController()
+    controller = RetryController()
     now = steady(controller, 100.0, 300)
     tuned = controller.tuned_rate
     for _ in range(20):  # ten per cent faster
@@ -91,7 +92,7 @@
 
 def test_integral_recovers_from_a_long_overload() -> None:
     """Anti-windup: however long the delay was over the target, retries open within seconds."""
-    controller = DelayController()
+    controller = RetryController()
     now = steady(controller, 3000.0, 3000)
     assert controller.retry_probability(now) == 0.0
     for _ in range(50):
@@ -102,26 +103,26 @@
 
 def test_the_first_window_is_not_measured_before_answers_can_come() -> None:
     """Pohjola's quiet day: requests were refused in the first seconds."""
-    controller = DelayController()
+    controller = RetryController()
     for k in range(20):
-        assert controller.window(4.0, 100.0 * k) == START * 4.0
+        assert window(controller, 4.0, 100.0 * k) == START * 4.0
     now = 2000.0
     for _ in range(30):
         now += 50.0
         controller.answered(600.0, 4000.0, now, True)
     added = ADDED * 4.0
-    assert controller.window(4.0, now) - added > 0.9 * 20 * WINDOW_SHARE * 4.0  # nu1 20 a second, aim 4 s
+    assert window(controller, 4.0, now) - added > 0.9 * 20 * WINDOW_SHARE * 4.0  # nu1 20 a second, aim 4 s
 
 
 def test_the_window_does_not_spiral_down_where_the_normal_delay_is_over_the_target() -> None:
     """i35d8eb: each answer rate set a smaller window, and that a smaller answer rate, with idle servers."""
-    controller, now, delay_s = DelayController(), 0.0, 0.5  # of an aim of one second
+    controller, now, delay_s = RetryController(), 0.0, 0.5  # of an aim of one second
     outstanding = 20.0
     for _ in range(600):
         rate = outstanding / delay_s
         now += 1000.0 / rate
         controller.answered(1000.0 * delay_s, 1000.0, now, True)
-        outstanding = controller.window(4.0, now)
+        outstanding = window(controller, 4.0, now)
     assert outstanding > 2.0 * 4.0
 
 
@@ -129,10 +130,10 @@
     """rota rough-1: two calls a server beyond Little's law, at boxes that serve one, kept all late."""
     windows = {}
     for delay_ms in (400.0, 800.0, 1600.0):  # one, two and four targets
-        controller, now = DelayController(), 0.0
+        controller, now = RetryController(), 0.0
         for _ in range(200):
             now += 50.0
             controller.answered(delay_ms, 1000.0, now, True)
-        windows[delay_ms] = controller.window(10.0, now) - controller.answers.per_s() * WINDOW_SHARE
+        windows[delay_ms] = window(controller, 10.0, now) - controller.answers.per_s() * WINDOW_SHARE
     added = ADDED * 10.0
     assert windows == pytest.approx({400.0: added, 800.0: added / 2.0, 1600.0: added / 4.0})
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -15,7 +15,7 @@
 
 import pytest
 
-from nickelbridge import logic
+from nickelbridge import request_queue
 from tests.peers import HANG, LIMIT_S, Server, World, answer, request, run, until, world
 
 BUSY_S = 0.3  # of a loop that does not run
@@ -107,7 +107,7 @@
 @leaving
 def test_what_waits_for_a_slot(leave: Leave, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     """The slot comes up in the turn in which the end is read, before it."""
-    monkeypatch.setattr(logic, "HOLD_SHARES", (0.9, 0.9))  # 450 ms: longer than the loop is busy
+    monkeypatch.setattr(request_queue, "HOLD_SHARES", (0.9, 0.9))  # 450 ms: longer than the loop is busy
 
     async def test() -> None:
         server = Server(HANG)
@@ -116,7 +116,7 @@
             assert scene.node is not None
             module = scene.node._balancer
             for known in module.fleet.servers.values():
-                known.limit = 1.0
+                known.inflight_limit = 1.0
             first.write(request("first"))
             await until(lambda: len(server.seen) == 1)
             caller.sendall(request("left"))
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,19 +1,22 @@
-"""The module's agreed size, and the README's own code."""
+"""The size of the decision modules, and the README's own code."""
 
 import re
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-LOGIC = (ROOT / "nickelbridge" / "logic.py").read_text().splitlines()
+MODULES = sorted((ROOT / "nickelbridge").glob("*.py"))
+MOST_LINES = 330  # that are not blank, of one module
 
 
-def test_the_module_keeps_its_lines_and_columns() -> None:
-    assert sum(1 for line in LOGIC if line.strip()) <= 560  # the operators run 1,200 at most
-    assert max(map(len, LOGIC)) <= 110
+def test_no_decision_module_grows_past_one_job() -> None:
+    lines = {module.name: module.read_text().splitlines() for module in MODULES}
+    assert "balancer.py" in lines
+    assert max(sum(1 for line in text if line.strip()) for text in lines.values()) <= MOST_LINES
+    assert max(len(line) for text in lines.values() for line in text) <= 110
 
 
-def test_the_module_names_its_interface_at_the_top() -> None:
-    assert "nickelbridge/interface.py" in LOGIC[0]
+def test_each_decision_module_says_what_it_is_for() -> None:
+    assert [module.name for module in MODULES if not module.read_text().startswith('"""')] == []
 
 
 def test_the_readme_quick_start_runs() -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -16,9 +16,9 @@
 import pytest
 
 from nickelbridge import interface as api
-from nickelbridge import logic
+from nickelbridge import retry_policy
+from nickelbridge.balancer import Balancer
 from nickelbridge.bucket import Bucket
-from nickelbridge.logic import Balancer
 from orchidferry.config import address, server_id
 from tests.peers import (
     CLOSE,
@@ -358,7 +358,7 @@
 def test_a_request_whose_caller_has_left_before_a_retry_is_not_sent_again(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(logic, "RETRY_WAIT_SHARE", 0.4)  # 100 ms at least, to leave in
+    monkeypatch.setattr(retry_policy, "RETRY_WAIT_SHARE", 0.4)  # 100 ms at least, to leave in
 
     async def test() -> None:
         server = Server(usual=answer(500))
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -15,8 +15,8 @@
 import pytest
 
 from nickelbridge import interface as api
+from nickelbridge.balancer import Balancer
 from nickelbridge.interface import Result
-from nickelbridge.logic import Balancer
 from orchidferry import upstream
 from orchidferry.config import Address
 from orchidferry.upstream import Answer, Connection, Upstream, read_report
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -13,9 +13,11 @@
 from hypothesis import strategies as st
 
 from nickelbridge import interface as api
-from nickelbridge import logic
+from nickelbridge import server as server_module
+from nickelbridge.balancer import Balancer
 from nickelbridge.interface import Result
-from nickelbridge.logic import Balancer
+from nickelbridge.retry_policy import NEVER_RAN, RetryPolicy
+from nickelbridge.server import Server
 from tests.checker import Broken, Checker
 from tests.helpers import settings
 
@@ -167,32 +169,31 @@
         return True
 
     with monkeypatch.context() as patch:
-        patch.setattr(Balancer, "_repeatable", always)
+        patch.setattr(RetryPolicy, "repeatable", always)
         assert breaks().startswith("rule 2")
     with monkeypatch.context() as patch:
-        patch.setattr(Balancer, "_in_budget", always)
+        patch.setattr(RetryPolicy, "in_budget", always)
         assert breaks(**BUDGET).startswith("rule 5")
     with monkeypatch.context() as patch:
-        patch.setattr(logic.Server, "group", lambda *_: None)
+        patch.setattr(Server, "group", lambda *_: None)
         assert breaks().startswith("rule 2")
     with monkeypatch.context() as patch:
         patch.setattr(Balancer, "_end", always)
         assert breaks().startswith("rule 1")
     with monkeypatch.context() as patch:
         patch.setattr(
-            logic, "Health", type("AllInService", (), {"IN_SERVICE": api.Health.DRAINING, "GONE": 0})
+            server_module, "Health", type("AllInService", (), {"IN_SERVICE": api.Health.DRAINING, "GONE": 0})
         )
         assert breaks(drain_grace_ms=0.0).startswith("rule 3")
 
-    class Deaf(Balancer):
+    class TrustsRefusals(RetryPolicy):
         """Holds that 'full' proves that an attempt never ran, whatever the settings say."""
 
-        def __init__(self, settings: api.Settings, salt: int) -> None:
-            super().__init__(settings, salt)
-            self._never_ran = logic.NEVER_RAN
+        def may_have_run(self, result: Result) -> bool:
+            return result not in NEVER_RAN
 
     with monkeypatch.context() as patch:
-        patch.setattr("tests.test_property.Balancer", Deaf)
+        patch.setattr("nickelbridge.balancer.RetryPolicy", TrustsRefusals)
         assert breaks(full_may_have_run=True).startswith("rule 2")
 
 
--- a/tests/test_send_guard.py
+++ b/tests/test_send_guard.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from nickelbridge import logic
 from nickelbridge.interface import Result
+from nickelbridge.retry_policy import RetryPolicy
 from orchidferry.config import now_ms
 from orchidferry.send_guard import AttemptLog, Refusal, SendGuard
 from tests.helpers import settings
@@ -69,7 +69,7 @@
 ) -> None:
     """A module that sends unsafe requests again: the server sees one, and the log says so."""
     caplog.set_level(logging.INFO)
-    monkeypatch.setattr(logic.Balancer, "_repeat_ends_ms", lambda self, call: math.inf)
+    monkeypatch.setattr(RetryPolicy, "repeat_ends_ms", lambda self, call: math.inf)
 
     async def test() -> None:
         server = Server(usual=RESET)
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from nickelbridge import logic
+from nickelbridge.list_subscription import ASK_LONGEST_MS
 from orchidferry import agent_link, discovery, node
 from orchidferry.config import Listing
 from tests.peers import Server, answer, read_message, run, until, world
@@ -29,7 +29,7 @@
 
 def test_the_longest_sum_of_waits_is_within_the_time_after_which_news_counts_as_told() -> None:
     """It was 8.75 s with three silent calls in a row, where lists are asked for."""
-    pushed_ms, asked_ms = node.PUSHED_RETRY_S * 1000.0, logic.ASK_LONGEST_MS
+    pushed_ms, asked_ms = node.PUSHED_RETRY_S * 1000.0, ASK_LONGEST_MS
     assert discovery.FAILURES_BORNE >= 3
     for pause_ms in (pushed_ms, asked_ms):
         assert discovery.longest_news_ms(pause_ms) < TOLD_MS - 200.0
