Pick servers by index: nothing that a call does walks the list any more

Cause: each pick worked out weight, budget and load of every server of the copy's subset, several times over for crowding, ejection and groups; a call with 960 listed servers cost 5.8 ms in the decisions alone. Change: what is found of a server is kept with it and worked out anew when an attempt begins or ends, the list changes, or the time comes at which it will differ by a tenth (server_selection). Servers of one load and gain stand together in a heap by credit (rotation). The subset keeps its shuffles sorted and gives what has changed (subset, fleet); a list touches the entries that differ. A request that may have run compares 32 servers of those that drop its repeat, not all, where there are more. Cold servers' budgets grow at the mean of the rates of two looks, as looks are rarer. What differs from the walk: a weight may be a tenth old, gains are rounded to 4.5% and paid for by the same factor.

--- a/nickelbridge/admission.py
+++ b/nickelbridge/admission.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 from nickelbridge import interface as api
 from nickelbridge.averages import ClassRecord, UsualDelay
@@ -59,15 +60,14 @@
         less = sum(self._record.mix[name] for name, value in values.items() if value < own)
         return self._rng.random() * self._record.mix[call.cls.name] < shed - less
 
-    def crowded(self, call: Call, inflight: int, now: float) -> bool:
+    def crowded(self, call: Call, inflight: int, lost_calls: Callable[[float], int], now: float) -> bool:
         """Whether the clients' tier has as many calls outstanding as the delay target bears."""
         room = self.window(self._fleet.slice, now)
         if self._settings.tier or inflight < (1.0 - RESERVE) * room:
             return False
         # sulcast-porto-alegre silent+leave+brisk 12: of a window of 8 two stood on connections that had died.
         # It lets in a few too many where a class has far longer calls than the rest of them.
-        usual = self._usual.share
-        working = inflight - sum(server.lost_calls(now, usual) for server in self._fleet.ready)
+        working = inflight - lost_calls(now)
         best = max(self.value(name, False) for name in self._aims_ms)
         full = working >= (1.0 - RESERVE) * room
         return full and (working >= room or self.value(call.cls.name, call.over_share) < best)
--- a/nickelbridge/balancer.py
+++ b/nickelbridge/balancer.py
@@ -95,9 +95,9 @@
         self._attempt(call, now)
 
     def _attempt(self, call: Call, now: float) -> None:
-        crowded = self.admission.crowded(call, self.inflight, now)
+        crowded = self.admission.crowded(call, self.inflight, self._selector.lost_calls, now)
         server = None if crowded else self._selector.pick(call, now)
-        if crowded or (server is None and call.first_run_ms is None and self.fleet.ready):
+        if crowded or (server is None and call.first_run_ms is None and self.fleet.ready_count):
             self._enqueue(call, now)
         elif server is None or not self._send(call, server, now):
             self._wait_or_end(call, now)
@@ -117,7 +117,7 @@
             while queue:
                 call = queue[0]
                 if call.queued and call.id in self._calls:
-                    crowded = self.admission.crowded(call, self.inflight, now)
+                    crowded = self.admission.crowded(call, self.inflight, self._selector.lost_calls, now)
                     server = None if crowded else self._selector.pick(call, now)
                     if server is None:
                         break
@@ -138,13 +138,14 @@
         call.attempts += 1
         call.out, call.last_server, call.sent_ms = True, server, now
         self.inflight += 1
-        if self.inflight > GROW_FROM * len(self.fleet.ready):
-            self.fleet.grow(now)
+        if self.inflight > GROW_FROM * self.fleet.ready_count:
+            self._selector.apply(self.fleet.grow(now), now)
         call.idle_ms = 0.0 if server.calls else now - server.used_ms
         if self._idle_limit.exceeded(call.idle_ms):  # Rosario fresh-big: sent on a dropped one, it is lost
             self._actions.append(api.CloseIdle(server.id))
             call.idle_ms = 0.0
         server.calls[call.id] = now, cls.aim_ms
+        self._selector.update(server, now)
         measured = self.usual_delay.samples >= SAMPLES
         timeout_ms = self.retry_policy.attempt_timeout_ms(call, left_ms, self.usual_delay.share, measured)
         within_ms = self.retry_policy.repeat_ends_ms(call) - now
@@ -232,8 +233,9 @@
             return
         if event.report:
             server.queue, server.report_ms = event.report.get("queue", 0.0), now
-        self._ejection.learn(server, event.result, self.fleet.ready, now)
+        self._ejection.learn(server, event.result, self._selector.ejected_share(now), now)
         self._measure(server, *sent, event, now)
+        self._selector.update(server, now)
 
     def _retry(self, call: Call, event: api.AttemptEnded, now: float) -> None:
         """Try a call again whose attempt has failed, as the loop and the class allow, or end it."""
@@ -270,5 +272,5 @@
         if event.kind is ListKind.FAILED:
             wait_ms = wait_before_asking_ms(self.settings.ask_every_ms, self._rng)
             return self._actions.append(api.SetTimer(SUBSCRIBE_TOKEN, wait_ms))
-        self.fleet.apply(event, now)
+        self._selector.apply(self.fleet.apply(event, now), now)
         self._release(now)
--- a/nickelbridge/fleet.py
+++ b/nickelbridge/fleet.py
@@ -3,64 +3,144 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Hashable
+from dataclasses import dataclass, field
 
 from nickelbridge import interface as api
-from nickelbridge import subset
 from nickelbridge.bucket import Bucket
 from nickelbridge.call import Call
-from nickelbridge.interface import Health, ListKind
+from nickelbridge.interface import Group, Health, ListKind
 from nickelbridge.server import Server
+from nickelbridge.server_group import GroupIndex
+from nickelbridge.subset import Subset
 
 SLICES = 4  # of the fleet, each cut evenly among all copies: few servers, so that a copy sees each often
 
 
+@dataclass(slots=True)
+class FleetChange:
+    """What a piece of news does to the servers that are this copy's to use."""
+
+    left: list[Server] = field(default_factory=list)  # no longer to use
+    touched: list[Server] = field(default_factory=list)  # new to it, or changed
+
+
 class Fleet:
     """All listed servers, and those of them that are this copy's to use."""
 
     def __init__(self, settings: api.Settings, rng: random.Random) -> None:
-        self._number, self._nodes, self._rng = settings.number, settings.nodes, rng
+        self._nodes, self._rng = settings.nodes, rng
         self.servers: dict[int, Server] = {}
-        self.ready: list[Server] = []  # those in service that are this copy's to use
-        self.slices, self.slice = SLICES, 0.0  # how many it has, and how many servers one is worth
+        self._ready: dict[int, Server] = {}  # those in service that are this copy's to use
+        self._subset = Subset(settings.number, settings.nodes, SLICES)
+        self._groups = GroupIndex()  # those in service
+        self._group_kinds = {cls.group for cls in settings.classes}
         self.parts = 0.0  # the sum of what is its to use of them
 
-    def apply(self, news: api.ServerList, now: float) -> None:
-        """Take changes, or a whole list that replaces the old one."""
-        kept = {entry.server for entry in news.entries} if news.kind is not ListKind.CHANGES else self.servers
-        self.servers = {id: server for id, server in self.servers.items() if id in kept}
-        for entry in news.entries:
-            if entry.health is Health.GONE:
-                self.servers.pop(entry.server, None)
-            elif entry.server in self.servers and not self.servers[entry.server].restarted(entry):
-                self.servers[entry.server].update(entry)
-            else:  # of a new process nothing is known, also where one of that name was
-                self.servers[entry.server] = Server(entry, now, self._rng)
-        self.use_slices(SLICES, now)
+    @property
+    def ready(self) -> list[Server]:
+        """The servers in service that are this copy's to use."""
+        return list(self._ready.values())
+
+    @property
+    def ready_count(self) -> int:
+        """How many servers are this copy's to use."""
+        return len(self._ready)
+
+    @property
+    def slices(self) -> int:
+        """How many slices of the fleet this copy uses."""
+        return self._subset.slices
+
+    @property
+    def slice(self) -> float:
+        """How many servers one slice is worth."""
+        return len(self._subset) / self._nodes
+
+    def uses(self, server: Server) -> bool:
+        """Whether a server is this copy's to use."""
+        return self._ready.get(server.id) is server
 
     def holds(self, server: Server) -> bool:
         """Whether a server is still listed as the process that it was."""
         return self.servers.get(server.id) is server
 
-    def repeat_group(self, call: Call) -> list[Server]:
-        """All that a keyed call which may have run can still go to."""
-        servers = self.servers.values()
-        return [s for s in servers if s.in_service and s.group(call.cls.group) == call.repeat_group]
+    def apply(self, news: api.ServerList, now: float) -> FleetChange:
+        """Take changes, or a whole list that replaces the old one."""
+        change = FleetChange()
+        if news.kind is not ListKind.CHANGES:
+            named = {entry.server for entry in news.entries}
+            for id in self.servers.keys() - named:
+                self._remove(self.servers[id], change)
+        for entry in news.entries:
+            self._take(entry, now, change)
+        self._subset.use_slices(SLICES)
+        self._recut(now, change)
+        return change
+
+    def _take(self, entry: api.ServerEntry, now: float, change: FleetChange) -> None:
+        server = self.servers.get(entry.server)
+        if entry.health is Health.GONE:
+            if server is not None:
+                self._remove(server, change)
+            return
+        if server is not None and server.restarted(entry):
+            self._remove(server, change)  # of a new process nothing is known, also where one of that name was
+            server = None
+        if server is None:
+            server = self.servers[entry.server] = Server(entry, now, self._rng)
+        elif not server.update(entry):
+            return
+        if not self.uses(server):
+            server.part = server.share
+        if server.in_service:
+            self._subset.set_share(server.id, server.share)
+            self._groups.put(server, self._group_keys(server))
+        else:
+            self._subset.remove(server.id)
+            self._groups.remove(server)
+        if self.uses(server):
+            change.touched.append(server)
 
-    def grow(self, now: float) -> None:
+    def _group_keys(self, server: Server) -> tuple[Hashable, ...]:
+        return tuple((kind, server.group(kind)) for kind in self._group_kinds)
+
+    def _remove(self, server: Server, change: FleetChange) -> None:
+        del self.servers[server.id]
+        self._subset.remove(server.id)
+        self._groups.remove(server)
+        if self._ready.pop(server.id, None) is not None:
+            change.left.append(server)
+
+    def draw_repeat_group(self, call: Call, most: int) -> list[Server]:
+        """Servers that a call which may have run can still go to, so many at most."""
+        group: Group = call.cls.group
+        return self._groups.draw((group, call.repeat_group), most, self._rng)
+
+    def grow(self, now: float) -> FleetChange:
         """Use twice as many slices, where there are more: a busy caller needs more of the fleet."""
+        change = FleetChange()
         if self.slices < self._nodes:
-            self.use_slices(2 * self.slices, now)
-
-    def use_slices(self, slices: int, now: float) -> None:
-        """Use so many slices: many copies going round all servers need more connections than they accept."""
-        shares = {server.id: server.share for server in self.servers.values() if server.in_service}
-        self.slices, self.slice = slices, len(shares) / self._nodes
-        parts = subset.parts(shares, self._number, self._nodes, slices)
-        before = set(self.ready)
-        self.ready = [self.servers[id] for id, part in parts.items() if part]
-        for server in self.ready:  # saved up nothing while it was not this copy's
-            if server not in before:
+            self._subset.use_slices(2 * self.slices)
+            self._recut(now, change)
+        return change
+
+    def _recut(self, now: float, change: FleetChange) -> None:
+        """Use what the subset says: many copies going round all servers need too many connections."""
+        changed = self._subset.update()
+        for id in changed:
+            part, used = self._subset.parts.get(id), self._ready.get(id)
+            if part is None:
+                if used is not None:
+                    del self._ready[id]
+                    used.part = used.share
+                    change.left.append(used)
+                continue
+            server = self.servers[id]
+            if used is None:  # it has saved up nothing while it was not this copy's
+                self._ready[id] = server
                 server.budget = Bucket(min(server.budget.tokens, self._rng.random()), now)
-        for server in self.ready:
-            server.part = parts[server.id]
-        self.parts = sum(parts.values())
+            server.part = part
+            change.touched.append(server)
+        if changed:
+            self.parts = sum(self._subset.parts.values())
--- a/nickelbridge/outlier_ejection.py
+++ b/nickelbridge/outlier_ejection.py
@@ -4,7 +4,6 @@
 
 import math
 import random
-from collections.abc import Sequence
 
 from nickelbridge.averages import PEER_SAMPLES
 from nickelbridge.interface import Result
@@ -24,8 +23,8 @@
         self._rng = rng
         self._errors = 0.0  # the share of all recent attempts
 
-    def learn(self, server: Server, result: Result, ready: Sequence[Server], now: float) -> None:
-        """What an outcome tells of the server's health; `ready` are its peers and itself."""
+    def learn(self, server: Server, result: Result, ejected_share: float, now: float) -> None:
+        """What an outcome tells of the server's health; `ejected_share`: of its peers that are out now."""
         if result in (Result.REFUSED, Result.UNREACHABLE):
             held = min(server.inflight_limit, float(server.inflight))
             server.inflight_limit = max(1.0, held * LIMIT_CUT)
@@ -34,16 +33,16 @@
         elif result is Result.SERVED:
             server.inflight_limit += 1.0 / server.inflight_limit
         if result in (Result.SERVED, Result.ERROR, Result.RESET):
-            self._weigh(server, result is not Result.SERVED, ready, now)
+            self._weigh(server, result is not Result.SERVED, ejected_share, now)
 
-    def _weigh(self, server: Server, bad: bool, ready: Sequence[Server], now: float) -> None:
+    def _weigh(self, server: Server, bad: bool, ejected_share: float, now: float) -> None:
         # Fast errors look like low delay: weigh failing half its calls against failing like its peers.
         peers = max(ERROR_FLOOR, min(self._errors, BAD_RATIO))
         self._errors += (bad - self._errors) / PEER_SAMPLES
         step = math.log(BAD_RATIO / peers) if bad else math.log((1.0 - BAD_RATIO) / (1.0 - peers))
         server.error_log_odds = max(0.0, server.error_log_odds + step)
         if server.error_log_odds >= EJECT_LOG_ODDS:
-            if sum(now < other.ejected_until_ms for other in ready) < EJECT_SHARE * len(ready):
+            if ejected_share < EJECT_SHARE:
                 self._eject(server, now)
             server.error_log_odds = EJECT_LOG_ODDS / 2.0  # on its return it is on probation
         elif not server.error_log_odds:
--- a/nickelbridge/server.py
+++ b/nickelbridge/server.py
@@ -4,18 +4,25 @@
 
 import math
 import random
+from typing import TYPE_CHECKING
 
 from nickelbridge import interface as api
 from nickelbridge.bucket import Bucket
 from nickelbridge.interface import Group, Health
 
+if TYPE_CHECKING:
+    from nickelbridge.rotation import Place
+
 SLOW_FROM = 1.5  # times its peers' delay, from which a server counts as slow,
 SLOW_POWER = 4.0  # and how steeply its weight falls then, so that it gets rest
 SLOW_MOST = 10.0  # times its peers' delay that one answer may count for at most
 SLOW_SAMPLES, SLOW_FADE_MS = 3.0, 10_000.0  # answers that a delay is averaged over; how soon that fades
-REPORT_FADE_MS = 5_000.0  # the time in which a reported queue fades, by whose cube the weight is divided
+REPORT_FADE_MS = 5_000.0  # the time in which a reported queue fades,
+QUEUE_POWER = 3  # and by what power of it a weight falls
 OVERDUE = 1.5  # a call out for so many times the usual delay makes its server look as slow as one answer
 LOST = 4.0  # times its usual delay: a call out for so long that later ones overtook takes no room any more
+LEAST_QUEUE = 0.01  # requests: a reported queue that has faded to less counts as none
+WEIGHT_STEP = 0.1  # by which a weight may be off before its server is looked at again
 RESTART_MS = 100.0  # between two starts of a server at least; clocks that are read anew differ by less
 
 
@@ -23,16 +30,16 @@
     """One server of the list."""
 
     __slots__ = (
-        "budget", "calls", "cell", "ejected_until_ms", "ejections", "error_log_odds", "id", "in_service",
-        "inflight_limit", "latest_served_ms", "part", "queue", "report_ms", "share", "slow_ms", "slowness",
-        "started_ms", "turn", "used_ms", "zone",
+        "budget", "budget_per_ms", "calls", "cell", "counted_weight", "credit", "due_ms", "ejected",
+        "ejected_until_ms", "ejections", "error_log_odds", "id", "in_service", "inflight_limit",
+        "latest_served_ms", "lost", "part", "place", "queue", "report_ms", "share", "slow_ms", "slowness",
+        "started_ms", "used_ms", "weight", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: api.ServerEntry, now: float, rng: random.Random) -> None:
         self.id = entry.server
         self.calls: dict[str, tuple[float, float]] = {}  # when each call out was sent, and its aim
         self.latest_served_ms = -math.inf  # when the latest sent of the calls that it served was sent
-        self.turn: float | None = None  # its place in the rotation; None: new to it
         self.queue, self.report_ms = 0.0, now  # requests it last said were waiting there, and when it did
         self.slowness, self.slow_ms = 1.0, now  # its delay over its peers', averaged, and when that was
         self.ejected_until_ms, self.ejections = -math.inf, 0  # how often in a row
@@ -40,12 +47,25 @@
         self.error_log_odds = 0.0  # that it fails much more often than its peers
         self.inflight_limit = math.inf  # once it has turned an attempt away
         self.budget = Bucket(rng.random(), now)  # while cold; random, as all copies learn of it at once
-        self.update(entry)
-
-    def update(self, entry: api.ServerEntry) -> None:
-        """Take what the list now says of it."""
-        self.zone, self.cell, self.share = entry.zone, entry.cell, max(entry.share, 0.0)
+        self.budget_per_ms = 0.0  # what came into it when it was last looked at
+        self._read(entry)
         self.part = self.share  # of it that is this copy's to use
+        # What the selection of servers last found, see `server_selection`.
+        self.place: Place | None = None  # in a rotation
+        self.credit = 0.0  # in rounds of the rotation, while it has no place
+        self.weight = 0.0  # 0: not in any rotation yet
+        self.counted_weight = 0.0  # of it in the sum of all
+        self.lost, self.ejected = 0, False
+        self.due_ms = math.inf  # when it has to be looked at again
+
+    def update(self, entry: api.ServerEntry) -> bool:
+        """Take what the list now says of it; whether anything is new."""
+        known = self.zone, self.cell, self.share, self.in_service, self.started_ms
+        self._read(entry)
+        return known != (self.zone, self.cell, self.share, self.in_service, self.started_ms)
+
+    def _read(self, entry: api.ServerEntry) -> None:
+        self.zone, self.cell, self.share = entry.zone, entry.cell, max(entry.share, 0.0)
         self.in_service, self.started_ms = entry.health is Health.IN_SERVICE, entry.started_ms
 
     def restarted(self, entry: api.ServerEntry) -> bool:
@@ -65,18 +85,50 @@
         slowness = self._slowness_at(now)
         self.slowness, self.slow_ms = slowness + (min(ratio, SLOW_MOST) - slowness) / SLOW_SAMPLES, now
 
-    def speed(self, now: float, usual_share: float) -> float:
-        """What is left of its weight, once it is clearly slower than its peers, or keeps a call waiting."""
+    def _waiting_call(self) -> tuple[float, float] | None:
+        """The oldest call out that no later one has overtaken: when it was sent, and its aim."""
         # A silent, hung or choked server shows by the oldest call it holds long before a time-out does. Not
         # by one that later ones overtook: it is the connection that died, or that call alone that is long.
         # sulcast-porto-alegre 3646: two dead connections kept two sound servers of four from work for 6 s. It
         # hides a server that answers few and loses the rest, until these time out.
-        waiting = (call for call in self.calls.values() if call[0] >= self.latest_served_ms)
-        sent_ms, aim_ms = next(waiting, (now, 1.0))
-        overdue = (now - sent_ms) / (usual_share * aim_ms) / OVERDUE if usual_share else 0.0
+        for call in self.calls.values():
+            if call[0] >= self.latest_served_ms:
+                return call
+        return None
+
+    def speed(self, now: float, usual_share: float) -> float:
+        """What is left of its weight, once it is clearly slower than its peers, or keeps a call waiting."""
+        slowness = max(self._slowness_at(now), SLOW_FROM) if self.slowness > SLOW_FROM else SLOW_FROM
+        if self.calls and usual_share and (waiting := self._waiting_call()) is not None:
+            slowness = max(slowness, (now - waiting[0]) / (usual_share * waiting[1]) / OVERDUE)
+        speed = math.pow(SLOW_FROM / slowness, SLOW_POWER) if slowness > SLOW_FROM else 1.0
+        queue = self._queue_at(now) if self.queue else 0.0
+        return speed / (1.0 + queue) ** QUEUE_POWER if queue else speed
+
+    def _queue_at(self, now: float) -> float:
         queue = self.queue * math.exp((self.report_ms - now) / REPORT_FADE_MS)
-        slowness = max(self._slowness_at(now), overdue, SLOW_FROM)
-        return math.pow(SLOW_FROM / slowness, SLOW_POWER) / (1.0 + queue) ** 3
+        return queue if queue >= LEAST_QUEUE else 0.0
+
+    def speed_changes_ms(self, now: float, usual_share: float) -> float:
+        """When its speed, or the calls that count as lost, will be another by more than a little."""
+        due_ms = math.inf
+        slowness = self._slowness_at(now) if self.slowness > SLOW_FROM else 1.0
+        if slowness > SLOW_FROM:
+            due_ms = now + WEIGHT_STEP * SLOW_FADE_MS * slowness / (slowness - 1.0) / SLOW_POWER
+        if self.queue and (queue := self._queue_at(now)):
+            due_ms = min(due_ms, now + WEIGHT_STEP * REPORT_FADE_MS * (1.0 + queue) / queue / QUEUE_POWER)
+        if not self.calls or not usual_share:
+            return due_ms
+        waiting = self._waiting_call()
+        if waiting is not None:
+            overdue_ms = waiting[0] + OVERDUE * max(slowness, SLOW_FROM) * usual_share * waiting[1]
+            step_ms = now + max(1.0, WEIGHT_STEP / SLOW_POWER * (now - waiting[0]))
+            due_ms = min(due_ms, max(overdue_ms, step_ms))
+        for sent_ms, aim_ms in self.calls.values():
+            lost_ms = sent_ms + LOST * usual_share * aim_ms
+            if sent_ms < self.latest_served_ms and now <= lost_ms:
+                due_ms = min(due_ms, lost_ms + 1.0)
+        return due_ms
 
     def lost_calls(self, now: float, usual_share: float) -> int:
         """How many of its calls out it can't be working on, as far as can be told."""
@@ -85,10 +137,6 @@
             for sent_ms, aim_ms in self.calls.values()
         )
 
-    def load(self, now: float, usual_share: float) -> float:
-        """How many calls it works on for this copy, for the part of it that is this copy's to use."""
-        return (self.inflight - self.lost_calls(now, usual_share)) / self.part if self.part else math.inf
-
     def group(self, group: Group) -> str | int | None:
         """The group that drops repeats here, as a value to compare; None where all do."""
         return self.zone if group is Group.ZONE else self.cell if group is Group.CELL else None
--- a/nickelbridge/server_selection.py
+++ b/nickelbridge/server_selection.py
@@ -1,73 +1,207 @@
-"""Which server gets an attempt: smooth weighted rotation among those that hold the fewest calls."""
+"""Which server gets an attempt: smooth weighted rotation among those that hold the fewest calls.
+
+What is found of a server is kept with it and worked out anew when something happens to it: an attempt begins
+or ends, the list changes, or the time comes at which its weight, its budget or its ejection will have
+changed. So a pick looks at a few servers only, however many there are.
+"""
 
 from __future__ import annotations
 
+import heapq
+import itertools
+import math
 import random
-from collections.abc import Iterable
+from dataclasses import dataclass
 
 from nickelbridge.averages import UsualDelay
 from nickelbridge.call import Call
-from nickelbridge.fleet import Fleet
+from nickelbridge.fleet import Fleet, FleetChange
+from nickelbridge.rotation import Rotation
 from nickelbridge.server import Server
 from nickelbridge.slow_start import SlowStart
 
+MOST_DUE = 4  # servers that one event looks at because their time has come
+GROUP_DRAWN = 32  # servers that are compared for a request that may have run, of those that drop a repeat
+LEAST_SPEED = 1e-3  # that a server is taken for, so that weights differ only so far
+
+
+@dataclass(slots=True)
+class Candidate:
+    """A server that is compared with few others, in a rotation or not."""
 
-class Rotation:
-    """Smooth weighted rotation: all gain their weight, the one furthest ahead is picked and pays."""
+    server: Server
+    weight: float
+    load: float  # calls that it works on for this copy, for the part of it that is this copy's to use
 
-    def __init__(self, rng: random.Random) -> None:
-        self._rng = rng
-        self._total = 0.0
+    def credit(self) -> float:
+        """How far ahead it is."""
+        return self.server.place.credit if self.server.place is not None else self.server.credit
 
-    def pick(self, servers: Iterable[tuple[Server, float]]) -> Server | None:
-        """The next server among those that are ready, each with its weight."""
-        best: Server | None = None
-        total = furthest = 0.0
-        for server, weight in servers:
-            total += weight
-            if server.turn is None:  # a random place in the round, so that copies don't go round in step
-                server.turn = -self._rng.random() * max(weight, self._total)
-            server.turn += weight
-            if best is None or server.turn > furthest:
-                best, furthest = server, server.turn
-        if best is not None:
-            best.turn, self._total = furthest - total, total
-        return best
+    def gain(self, credit: float) -> None:
+        """Give it credit, or take it."""
+        if self.server.place is not None:
+            self.server.place.rotation.credit(self.server, credit)
+        else:
+            self.server.credit += credit
 
 
 class ServerSelector:
     """Picks a call's next server."""
 
     def __init__(self, fleet: Fleet, slow_start: SlowStart, usual: UsualDelay, rng: random.Random) -> None:
-        self._fleet, self._slow_start, self._usual = fleet, slow_start, usual
-        self._rotation = Rotation(rng)
+        self._fleet, self._slow_start, self._usual, self._rng = fleet, slow_start, usual, rng
+        self._open, self._ejected = Rotation(), Rotation()
+        self._due: list[tuple[float, int, Server]] = []  # a heap; entries unlike a server's `due_ms` are old
+        self._serial = itertools.count()
+        self._weight = 0.0  # of all servers that may be sent something, as far as their budgets go
+        self._round_weight = 0.0  # of those that took part in the last round
+        self._lost_calls = self._ejected_count = 0
+
+    # What is known of servers
+
+    def apply(self, change: FleetChange, now: float) -> None:
+        """Take what the list has changed."""
+        for server in change.left:
+            self._forget(server)
+        for server in change.touched:
+            self.update(server, now)
+
+    def update(self, server: Server, now: float) -> None:
+        """Work out anew what is known of a server, if it is this copy's to use."""
+        if not self._fleet.uses(server):
+            return
+        usual, slow_start = self._usual.share, self._slow_start
+        warmth = slow_start.warmth(server, now)
+        has_budget = warmth >= 1.0 or slow_start.budget(server, warmth, self._fleet.parts, now) >= 1.0
+        weight = server.part * max(warmth * server.speed(now, usual), LEAST_SPEED)
+        lost = server.lost_calls(now, usual) if server.calls else 0
+        ejected = now < server.ejected_until_ms
+        self._count(server, weight if has_budget else 0.0, lost, ejected)
+        selectable = has_budget and server.inflight < server.inflight_limit
+        rotation = (self._ejected if ejected else self._open) if selectable else None
+        self._place(server, rotation, (server.inflight - lost) / server.part, weight)
+        due_ms = min(server.speed_changes_ms(now, usual), slow_start.changes_ms(server, warmth, now))
+        self._look_again(server, min(due_ms, server.ejected_until_ms) if ejected else due_ms)
+
+    def _forget(self, server: Server) -> None:
+        """Drop a server that is no longer this copy's to use."""
+        if server.place is not None:
+            server.place.rotation.remove(server)
+        self._count(server, 0.0, 0, False)
+        server.due_ms = math.inf
+
+    def _count(self, server: Server, weight: float, lost: int, ejected: bool) -> None:
+        self._weight += weight - server.counted_weight
+        self._lost_calls += lost - server.lost
+        self._ejected_count += ejected - server.ejected
+        server.counted_weight, server.lost, server.ejected = weight, lost, ejected
+
+    def _place(self, server: Server, rotation: Rotation | None, load: float, weight: float) -> None:
+        """Put a server where it belongs, with the credit that it has."""
+        place = server.place
+        if place is not None:
+            if place.rotation is rotation and place.load == load and server.weight == weight:
+                return
+            place.rotation.remove(server)
+        self._start(server, weight)
+        server.weight = weight
+        if rotation is not None:
+            rotation.add(server, load)
+
+    def _start(self, server: Server, weight: float) -> None:
+        """Give a server that is new a random place in the round, so that copies don't go round in step."""
+        if not server.weight:
+            server.credit = -self._rng.random() * max(weight, self._round_weight)
+            server.weight = weight
+
+    def _look_again(self, server: Server, due_ms: float) -> None:
+        if due_ms < math.inf and due_ms != server.due_ms:
+            heapq.heappush(self._due, (due_ms, next(self._serial), server))
+        server.due_ms = due_ms
+
+    def refresh(self, now: float) -> None:
+        """Look at servers whose time has come: those of longest ago, so many at most."""
+        looked = 0
+        while self._due and self._due[0][0] <= now and looked < MOST_DUE:
+            due_ms, _, server = heapq.heappop(self._due)
+            if server.due_ms == due_ms:
+                self.update(server, now)
+                looked += 1
+
+    def lost_calls(self, now: float) -> int:
+        """How many calls are out that no server can be working on, as far as can be told."""
+        self.refresh(now)
+        return self._lost_calls
+
+    def ejected_share(self, now: float) -> float:
+        """The share of this copy's servers that are ejected."""
+        self.refresh(now)
+        return self._ejected_count / (self._fleet.ready_count or 1)
+
+    # Picks
 
     def pick(self, call: Call, now: float) -> Server | None:
         """The server for the call's next attempt; None where none may get one now."""
-        return self._rotation.pick(self._candidates(call, now))
-
-    def _candidates(self, call: Call, now: float) -> list[tuple[Server, float]]:
-        """The servers that may get the call's next attempt, with their weights."""
-        usual, parts, any_group = self._usual.share, self._fleet.parts, call.first_run_ms is None
-        ready: list[tuple[Server, float]] = []
-        total = 0.0
-        for server in self._fleet.ready if any_group else self._fleet.repeat_group(call):
-            warmth = self._slow_start.warmth(server, now)
-            weight = server.part * warmth * server.speed(now, usual)
-            if warmth < 1.0 and self._slow_start.budget(server, warmth, parts, now) < 1.0:
-                continue
-            total += weight
-            if server.inflight < server.inflight_limit:
-                ready.append((server, weight))
-        if any_group and parts:
-            self._slow_start.note_warm_share(total / parts, now)
-        found = [(server, weight) for server, weight in ready if now >= server.ejected_until_ms] or ready
-        if (
-            call.last_server is not None and len(found) > 1
-        ):  # elsewhere than last time, where there is a choice
-            found = [(server, weight) for server, weight in found if server is not call.last_server]
-        # A slow or stuck server shows first by what it holds: passed over till its peers hold alike. With one
-        # more allowed, rota: a call waited behind another where a box that serves one at a time stood idle.
-        loads = [server.load(now, usual) for server, _ in found]
-        least = min(loads, default=0.0)
-        return [pair for pair, load in zip(found, loads, strict=True) if load <= least]
+        if call.first_run_ms is not None:
+            return self._pick_in_group(call, now)
+        self.refresh(now)
+        if self._fleet.parts:
+            self._slow_start.note_warm_share(max(0.0, self._weight) / self._fleet.parts, now)
+        last, rotation = call.last_server, self._open if self._open.size else self._ejected
+        # Elsewhere than last time, where there is a choice.
+        aside = last if last is not None and last in rotation and rotation.size > 1 else None
+        load = 0.0
+        if aside is not None and aside.place is not None:
+            load = aside.place.load
+            rotation.remove(aside)
+        server = self._leader(now)
+        if server is not None and server.place is not None:
+            self._round_weight = server.place.rotation.charge(server)
+        if aside is not None:
+            rotation.add(aside, load)
+        return server if server is not None else aside
+
+    def _leader(self, now: float) -> Server | None:
+        """The server whose turn it is; what is known of it is up to date."""
+        while True:
+            # A slow or stuck server shows first by what it holds: passed over till its peers hold alike. With
+            # one more allowed, rota: a call waited behind another where a box that serves one at a time stood
+            # idle.
+            rotation = self._open if self._open.size else self._ejected
+            server = rotation.leader()
+            if server is None or server.due_ms > now:
+                return server
+            self.update(server, now)
+
+    def _pick_in_group(self, call: Call, now: float) -> Server | None:
+        """The server for a call that may have run: of those that drop a repeat, the one furthest ahead."""
+        drawn = [self._candidate(server, now) for server in self._fleet.draw_repeat_group(call, GROUP_DRAWN)]
+        usable = [candidate for candidate in drawn if candidate is not None]
+        found = [candidate for candidate in usable if now >= candidate.server.ejected_until_ms] or usable
+        if len(found) > 1:
+            found = [candidate for candidate in found if candidate.server is not call.last_server]
+        least = min((candidate.load for candidate in found), default=0.0)
+        found = [candidate for candidate in found if candidate.load <= least]
+        if not found:
+            return None
+        for candidate in found:
+            candidate.gain(candidate.weight)
+        best = max(found, key=lambda candidate: candidate.credit())
+        self._round_weight = sum(candidate.weight for candidate in found)
+        best.gain(-self._round_weight)
+        return best.server
+
+    def _candidate(self, server: Server, now: float) -> Candidate | None:
+        """A server as it is now, if it may get an attempt."""
+        if self._fleet.uses(server):
+            if server.place is None or server.due_ms <= now:
+                self.update(server, now)
+            return Candidate(server, server.weight, server.place.load) if server.place is not None else None
+        if server.inflight >= server.inflight_limit or not server.part:
+            return None
+        warmth, usual = self._slow_start.warmth(server, now), self._usual.share
+        if warmth < 1.0 and self._slow_start.budget(server, warmth, self._fleet.parts, now) < 1.0:
+            return None
+        weight = server.part * max(warmth * server.speed(now, usual), LEAST_SPEED)
+        self._start(server, weight)
+        return Candidate(server, weight, (server.inflight - server.lost_calls(now, usual)) / server.part)
--- a/nickelbridge/slow_start.py
+++ b/nickelbridge/slow_start.py
@@ -5,12 +5,17 @@
 
 from __future__ import annotations
 
+import math
+
 from nickelbridge import interface as api
 from nickelbridge.averages import Mean
 from nickelbridge.retry_controller import RATE_WINDOW_MS, RetryController
-from nickelbridge.server import Server
+from nickelbridge.server import WEIGHT_STEP, Server
 
 COLD_SHARE = 0.5  # of the stated cold budget that all copies together use
+BUDGET_CHECK_SHARE = 0.7  # of the wait for a budget that is used up: after it there is another look,
+BUDGET_CHECK_MS = 20.0  # but not so soon, where the wait is no shorter
+LEAST_WAIT_MS = 0.1  # so that rounding errors bring no looks without end
 
 
 class SlowStart:
@@ -51,4 +56,17 @@
         # answer within the aim at all works off a call in each.
         bearable = max(bearable, server.part / self._longest_aim_ms)
         per_ms = COLD_SHARE * self._settings.overload_factor * warmth * bearable
-        return server.budget.refill(per_ms, max(1.0, per_ms * self._settings.overload_for_ms), now)
+        # A server is looked at now and then: between two looks its budget grew at the mean of both rates.
+        mean_per_ms = (per_ms + (server.budget_per_ms or per_ms)) / 2.0
+        server.budget_per_ms = per_ms
+        return server.budget.refill(mean_per_ms, max(1.0, per_ms * self._settings.overload_for_ms), now)
+
+    def changes_ms(self, server: Server, warmth: float, now: float) -> float:
+        """When a server will be warmer by more than a little, or may have a budget again."""
+        if warmth >= 1.0:
+            return math.inf
+        if server.budget.tokens >= 1.0:
+            return now + WEIGHT_STEP * warmth * self._settings.ramp_time_ms
+        # Most of the way: what comes in grows as it gets warmer, and as its peers answer more.
+        wait_ms = (1.0 - server.budget.tokens) / server.budget_per_ms
+        return now + min(wait_ms, max(BUDGET_CHECK_MS, BUDGET_CHECK_SHARE * wait_ms)) + LEAST_WAIT_MS
--- /dev/null
+++ b/tests/test_server_selection.py
@@ -0,0 +1,190 @@
+"""Picks, subsets and lists: by index they come to the same as by walks, at a cost that does not grow."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from bench.decisions import Case, Program, Run, State
+from nickelbridge import balancer
+from nickelbridge import interface as api
+from nickelbridge.bucket import Bucket
+from nickelbridge.rotation import Level, Place, Rotation
+from nickelbridge.server import Server
+from nickelbridge.server_group import GroupIndex
+from nickelbridge.subset import Subset
+from tests.coldfleet import Day, Fleet
+from tests.helpers import Node, entries
+from tests.plain_selection import CheckedSelector, parts
+from tests.test_property import play
+
+FEW, MANY = 30, 2000
+CALLS = 150
+MOST_EXTRA_LOOKS = 8  # a call, warm-up calls (half as many again) included
+
+
+@pytest.fixture
+def checked(monkeypatch: pytest.MonkeyPatch) -> type[CheckedSelector]:
+    """Has each pick of a balancer checked."""
+    monkeypatch.setattr(balancer, "ServerSelector", CheckedSelector)
+    monkeypatch.setattr(CheckedSelector, "checked", 0)
+    return CheckedSelector
+
+
+def test_picks_are_those_of_a_walk_on_random_days(checked: type[CheckedSelector]) -> None:
+    @hypothesis_settings(max_examples=150, deadline=None, derandomize=True, database=None)
+    @given(st.integers(0, 2**32), st.integers(1, 5), st.integers(0, 2), st.integers(1, 9))
+    def histories(seed: int, attempts: int, tier: int, nodes: int) -> None:
+        play(seed, max_attempts=attempts, tier=tier, nodes=nodes, number=seed % nodes)
+
+    histories()
+    assert checked.checked > 5000
+
+
+@pytest.mark.parametrize(
+    "day",
+    [Day(), Day(restarts=(1500.0, 3000.0)), Day(load=lambda _: 1.3), Day(warm=0, load=lambda _: 0.9)],
+)
+def test_picks_are_those_of_a_walk_among_cold_servers(day: Day, checked: type[CheckedSelector]) -> None:
+    Fleet(replace(day, before_ms=4000.0), 6, 1)
+    assert checked.checked > 500
+
+
+def pays_nothing(self: Rotation, server: Server) -> float:
+    return 1.0
+
+
+def ahead_before_the_round(self: Level) -> Place:
+    return max((group.leader() for group in self.groups.values()), key=lambda place: place.credit)
+
+
+def all_hold_alike(self: Rotation, server: Server, load: float) -> None:
+    add(self, server, 0.0)
+
+
+add = Rotation.add
+
+
+@pytest.mark.parametrize(
+    ("owner", "name", "broken"),
+    [(Rotation, "charge", pays_nothing), (Level, "leader", ahead_before_the_round),
+     (Rotation, "add", all_hold_alike)],
+)  # fmt: skip
+def test_the_walk_notices_a_broken_index(
+    owner: type, name: str, broken: object, checked: type[CheckedSelector], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The second is one that the simulator's score had shown, by 0.015."""
+    monkeypatch.setattr(owner, name, broken)
+    with pytest.raises(AssertionError):
+        for seed in range(30):
+            play(seed, nodes=7, number=2)
+
+
+@hypothesis_settings(max_examples=200, deadline=None, derandomize=True, database=None)
+@given(st.integers(0, 2**32))
+def test_a_subset_kept_up_to_date_is_that_of_a_whole_cut(seed: int) -> None:
+    rng = Random(seed)
+    nodes = rng.choice((1, 2, 5, 9, 33))
+    number, shares = rng.randrange(nodes + 3), dict[int, float]()
+    subset = Subset(number, nodes, 4)
+    for _ in range(12):
+        before = dict(subset.parts)
+        for member in rng.sample(range(200), rng.choice((1, 2, 150))):
+            if rng.random() < 0.4:
+                shares.pop(member, None)
+                subset.remove(member)
+            else:
+                shares[member] = rng.choice((1.0, 0.5, 2.0)) if seed % 2 else 1.0
+                subset.set_share(member, shares[member])
+        slices = rng.choice((4, 4, 8, 16))
+        subset.use_slices(slices)
+        changed = subset.update()
+        expected = {m: part for m, part in parts(shares, number, nodes, slices).items() if part > 1e-9}
+        assert subset.parts == pytest.approx(expected)
+        assert {m for m in before.keys() | subset.parts if before.get(m) != subset.parts.get(m)} <= changed
+
+
+def test_groups_hold_what_was_put_in_and_draw_a_part_of_it() -> None:
+    rng, index, held = Random(1), GroupIndex(), dict[int, str]()
+    servers = [Server(api.ServerEntry(n), 0.0, rng) for n in range(60)]
+    for _ in range(2000):
+        server, key = rng.choice(servers), rng.choice("abc")
+        if rng.random() < 0.3:
+            index.remove(server)
+            held.pop(server.id, None)
+        else:
+            index.put(server, (key, "all"))
+            held[server.id] = key
+        expected = {id for id, group in held.items() if group == key}
+        assert {server.id for server in index.draw(key, 100, rng)} == expected
+    drawn = Counter(server.id for _ in range(3000) for server in index.draw("all", 5, rng))
+    assert set(drawn) == set(held) and max(drawn.values()) < 2 * min(drawn.values())
+
+
+def looks(monkeypatch: pytest.MonkeyPatch, case: Case) -> int:
+    """How often servers are looked at in a run of the bench."""
+    count = 0
+    speed = Server.speed
+
+    def counted(self: Server, now: float, usual_share: float) -> float:
+        nonlocal count
+        count += 1
+        return speed(self, now, usual_share)
+
+    with monkeypatch.context() as patch:
+        run = Run(Program(), case)
+        patch.setattr(Server, "speed", counted)
+        run.cost()
+    return count
+
+
+@pytest.mark.parametrize("state", State)
+def test_what_a_call_looks_at_does_not_grow_with_the_list(
+    state: State, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    few, many = (looks(monkeypatch, Case(servers, 1, state, CALLS)) for servers in (FEW, MANY))
+    # Besides two looks at its own server, a call brings some at those whose time has come.
+    print(f"{state.value}: {few / CALLS:.2f} a call with {FEW} servers, {many / CALLS:.2f} with {MANY}")
+    assert many <= 1.15 * few + MOST_EXTRA_LOOKS * CALLS
+
+
+def test_a_list_with_nothing_new_looks_at_no_server(monkeypatch: pytest.MonkeyPatch) -> None:
+    node = Node(servers=200, nodes=8, number=3)
+    monkeypatch.setattr(Server, "speed", lambda *_: pytest.fail("a server was looked at"))
+    node.list_all(entries(range(200)))
+
+
+def test_a_change_looks_at_the_server_that_it_names(monkeypatch: pytest.MonkeyPatch) -> None:
+    node = Node(servers=200)
+    looked: list[int] = []
+
+    def speed(server: Server, *_: float) -> float:
+        looked.append(server.id)
+        return 1.0
+
+    monkeypatch.setattr(Server, "speed", speed)
+    node.change(api.ServerEntry(7, "z", "k", 1, share=2.0))
+    assert set(looked) == {7}
+
+
+def test_a_cold_server_that_is_seldom_looked_at_saves_up_no_more() -> None:
+    """What comes into a budget grows with the ramp: a look after a long while took the last rate for all."""
+    often, seldom = Bucket(0.0, 0.0), Bucket(0.0, 0.0)
+    settings = api.Settings([api.RequestClass("read", 100.0, 400.0)], start_capacity=0.2, ramp_time_ms=8000.0,
+                            overload_factor=2.5, overload_for_ms=1e6)  # fmt: skip
+    saved = []
+    for bucket, step in ((often, 10), (seldom, 2000)):
+        node = balancer.Balancer(settings, 1)
+        node.handle(api.ServerList(api.ListKind.FULL, 1, [api.ServerEntry(1, started_ms=0.0)]), 0.0)
+        server, start = node.fleet.servers[1], node._slow_start
+        server.budget = bucket
+        for now in range(0, 4001, step):
+            start.budget(server, start.warmth(server, float(now)), node.fleet.parts, float(now))
+        saved.append(bucket.tokens)
+    assert saved[1] == pytest.approx(saved[0], rel=0.05)
