--- a/bench/calls.py
+++ b/bench/calls.py
@@ -29,6 +29,7 @@
 MOST_LATE_S = 0.02  # by which this process may be late at the median
 SOCKETS = 2048
 KB = 1024.0
+LINK_ENDS = (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError)
 
 
 class FleetFailed(Exception):
@@ -83,7 +84,7 @@
         self._none = json.dumps({"index": 1, "snapshot": False, "endpoints": []}).encode()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        with contextlib.suppress(*LINK_ENDS):
             while True:
                 await reader.readuntil(b"\r\n\r\n")
                 await asyncio.sleep(WORK_S)
@@ -91,7 +92,7 @@
         writer.close()
 
     async def _tell(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        with contextlib.suppress(*LINK_ENDS):
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 wait = head.partition(b"wait=")[2].split()[:1]
