Read of a whole list what is new: entries are compared as text, the module hears the difference

Cause: a whole list of 3,200 servers with nothing new was parsed, checked and applied entry by entry, in one turn of the event loop that held up all calls: 11 ms for the JSON and 37 ms for its entries, some 8 ms in the module, alone on the machine. Change: listing_reader keeps each entry's text; equal ones are not parsed, the node and the module hear of the others and of those that are not named any more.

--- a/orchidferry/config.py
+++ b/orchidferry/config.py
@@ -10,6 +10,7 @@
 import math
 import re
 import time
+from collections.abc import Set
 from dataclasses import dataclass
 
 from nickelbridge import interface as api
@@ -46,6 +47,7 @@
     addresses: dict[int, Address]
     since_ms: dict[int, float]  # when each last started: Unix time in ms, 0 for long ago
     previous_ms: float = -math.inf  # when the answer before it came, by `now_ms`
+    unchanged: Set[int] = frozenset()  # of a whole list: servers that are named as before, and no entries
 
 
 @dataclass(slots=True)
--- a/orchidferry/discovery.py
+++ b/orchidferry/discovery.py
@@ -9,13 +9,13 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import math
 from collections.abc import Callable
 
 from nickelbridge.settings import Malformed
 from orchidferry.agent_link import CONNECT_S, AgentLink
-from orchidferry.config import Address, Listing, now_ms, read_listing
+from orchidferry.config import Address, Listing, now_ms
+from orchidferry.listing_reader import ListingReader
 
 # How long discovery may keep a watch open, and what it gets beyond that. Its silence shows only then. In
 # incident r32b5e5, at 20 s, all nodes sent through a whole release by the list they had started with. A watch
@@ -53,6 +53,7 @@
         news: Callable[[Listing | None, str], None],
     ) -> None:
         self._loop, self._news = loop, news
+        self._reader = ListingReader()
         self._link = AgentLink(loop, address, self)
         self._earlier: list[AgentLink] = []  # overtaken, the oldest first
         self._heard_ms = -math.inf  # when the last good answer came
@@ -124,10 +125,7 @@
         if status != 200:
             return self._unusable(link, f"status {status}")
         try:
-            obj = json.loads(body)
-            if not isinstance(obj, dict):
-                raise Malformed("not an object")
-            listing = read_listing(obj)
+            listing = self._reader.read(body)
         except (ValueError, RecursionError, Malformed) as problem:
             return self._unusable(link, f"a list that can't be read: {problem!s:.100}")
         if link.address == self._link.address and (listing.whole or listing.entries):
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -361,8 +361,10 @@
 
     def _take_listing(self, listing: Listing, kind: api.ListKind) -> None:
         self._starts.place(listing, now_ms())
+        gone = []
         if kind is not api.ListKind.CHANGES:
-            for server in self._addresses.keys() - listing.addresses.keys():
+            gone = list(self._addresses.keys() - listing.addresses.keys() - listing.unchanged)
+            for server in gone:
                 self._forget(server)
         for entry in listing.entries:
             if entry.health is api.Health.GONE:
@@ -373,7 +375,11 @@
                 self._in_service.add(entry.server)
             else:
                 self._in_service.discard(entry.server)
-        self._handle(api.ServerList(kind, listing.index, listing.entries))
+        if not listing.unchanged:
+            return self._handle(api.ServerList(kind, listing.index, listing.entries))
+        # The module hears of a whole list what has changed.
+        entries = [*listing.entries, *(api.ServerEntry(server, health=api.Health.GONE) for server in gone)]
+        self._handle(api.ServerList(api.ListKind.CHANGES, listing.index, entries))
 
     def _forget(self, server: int) -> None:
         self._in_service.discard(server)
