Drop the loads of levels that are gone from the rotation's heap

Cause: each call opens the level of servers that hold one call and closes it again; the heap of levels' loads kept a number of each, as those not at its top were never dropped: 1,200 calls left 1,200 numbers. Found by reading what the new selection holds. Change: the heap is made anew from the levels there are once most of it is gone. Test: what the selection holds after 400, 800 and 1,200 calls stays under 100; it failed first.

--- a/nickelbridge/rotation.py
+++ b/nickelbridge/rotation.py
@@ -117,7 +117,7 @@
         level = self._levels.get(load)
         if level is None:
             level = self._levels[load] = Level(load)
-            heapq.heappush(self._loads, load)
+            self._note_load(load)
         gain = rounded(server.weight)
         group = level.groups.get(gain)
         if group is None:
@@ -127,6 +127,14 @@
         level.weight += server.weight
         self.size += 1
 
+    def _note_load(self, load: float) -> None:
+        """Put a new level's load on the heap; drop those that are gone, once they are most."""
+        if len(self._loads) > LEAST_KEPT + 2 * len(self._levels):
+            self._loads = list(self._levels)
+            heapq.heapify(self._loads)
+        else:
+            heapq.heappush(self._loads, load)
+
     def _stand(self, server: Server, group: Group, base: float) -> None:
         server.place = Place(server, group, base, self)
         heapq.heappush(group.heap, (-base, next(self._serial), server.place))
--- a/tests/test_server_selection.py
+++ b/tests/test_server_selection.py
@@ -188,3 +188,18 @@
             start.budget(server, start.warmth(server, float(now)), node.fleet.parts, float(now))
         saved.append(bucket.tokens)
     assert saved[1] == pytest.approx(saved[0], rel=0.05)
+
+
+def test_what_the_selection_holds_does_not_grow_with_the_calls() -> None:
+    """Each call opened a level of load of its own, and left its number behind."""
+    node = Node(servers=20, tier=1)
+    sizes = []
+    for _ in range(3):
+        node.serve(400)
+        selector = node.balancer._selector
+        rotation = selector._open
+        entries_held = sum(
+            len(group.heap) for level in rotation._levels.values() for group in level.groups.values()
+        )
+        sizes.append((len(selector._due), len(rotation._loads), len(rotation._levels), entries_held))
+    assert max(map(max, sizes)) <= 100, sizes
