--- a/nickelbridge/server_selection.py
+++ b/nickelbridge/server_selection.py
@@ -23,6 +23,7 @@
 MOST_DUE = 4  # servers that one event looks at because their time has come
 GROUP_DRAWN = 32  # servers that are compared for a request that may have run, of those that drop a repeat
 LEAST_SPEED = 1e-3  # that a server is taken for, so that weights differ only so far
+LEAST_WEIGHT = 1e-300  # so that it has a logarithm, whatever share discovery tells
 
 
 @dataclass(slots=True)
@@ -73,7 +74,7 @@
         usual, slow_start = self._usual.share, self._slow_start
         warmth = slow_start.warmth(server, now)
         has_budget = warmth >= 1.0 or slow_start.budget(server, warmth, self._fleet.parts, now) >= 1.0
-        weight = server.part * max(warmth * server.speed(now, usual), LEAST_SPEED)
+        weight = self._weight_of(server, warmth, now)
         lost = server.lost_calls(now, usual) if server.calls else 0
         ejected = now < server.ejected_until_ms
         self._count(server, weight if has_budget else 0.0, lost, ejected)
@@ -83,6 +84,10 @@
         due_ms = min(server.speed_changes_ms(now, usual), slow_start.changes_ms(server, warmth, now))
         self._look_again(server, min(due_ms, server.ejected_until_ms) if ejected else due_ms)
 
+    def _weight_of(self, server: Server, warmth: float, now: float) -> float:
+        speed = max(warmth * server.speed(now, self._usual.share), LEAST_SPEED)
+        return max(server.part * speed, LEAST_WEIGHT)
+
     def _forget(self, server: Server) -> None:
         """Drop a server that is no longer this copy's to use."""
         if server.place is not None:
@@ -202,6 +207,6 @@
         warmth, usual = self._slow_start.warmth(server, now), self._usual.share
         if warmth < 1.0 and self._slow_start.budget(server, warmth, self._fleet.parts, now) < 1.0:
             return None
-        weight = server.part * max(warmth * server.speed(now, usual), LEAST_SPEED)
+        weight = self._weight_of(server, warmth, now)
         self._start(server, weight)
         return Candidate(server, weight, (server.inflight - server.lost_calls(now, usual)) / server.part)
--- a/tests/test_server_selection.py
+++ b/tests/test_server_selection.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from dataclasses import replace
 from random import Random
+from typing import Any
 
 import pytest
 from hypothesis import given
@@ -203,3 +204,21 @@
         )
         sizes.append((len(selector._due), len(rotation._loads), len(rotation._levels), entries_held))
     assert max(map(max, sizes)) <= 100, sizes
+
+
+@pytest.mark.parametrize("changes", [{"start_capacity": 0.0}, {"overload_factor": 0.0}])
+def test_servers_that_may_be_sent_nothing_at_first_stop_no_pick(changes: dict[str, Any]) -> None:
+    """A rate of nothing was divided by; a weight of nothing was looked at again at once, for ever."""
+    for seed in range(10):
+        play(seed, **changes)
+    node = Node(servers=0, tier=1, **changes)
+    node.list_all([api.ServerEntry(n, started_ms=node.now) for n in range(3)])
+    for n in range(50):
+        node.ask(f"{n}")
+        node.now += 200.0
+
+
+def test_a_server_of_hardly_any_weight_stops_no_pick() -> None:
+    node = Node(servers=0)
+    node.list_all([api.ServerEntry(1, share=5e-324), api.ServerEntry(2, share=1.0)])
+    assert set(node.serve(20)) <= {1, 2}
