Look at cold servers' used-up budgets every 0.1 s at least, eight due servers an event

A look at a budget that is used up lay 0.7 of a wait ahead that had been worked out with the rate of answers of then: a cold server beside peers that begin to answer was used 2.9 s late where the walk, which looked at each call, used it in 1.1 s. Change: no look lies more than 0.1 s ahead; an event looks at eight due servers and not four.

--- a/nickelbridge/server_selection.py
+++ b/nickelbridge/server_selection.py
@@ -20,7 +20,7 @@
 from nickelbridge.server import Server
 from nickelbridge.slow_start import SlowStart
 
-MOST_DUE = 4  # servers that one event looks at because their time has come
+MOST_DUE = 8  # servers that one event looks at because their time has come
 GROUP_DRAWN = 32  # servers that are compared for a request that may have run, of those that drop a repeat
 LEAST_SPEED = 1e-3  # that a server is taken for, so that weights differ only so far
 LEAST_WEIGHT = 1e-300  # so that it has a logarithm, whatever share discovery tells
--- a/nickelbridge/slow_start.py
+++ b/nickelbridge/slow_start.py
@@ -14,7 +14,8 @@
 
 COLD_SHARE = 0.5  # of the stated cold budget that all copies together use
 BUDGET_CHECK_SHARE = 0.7  # of the wait for a budget that is used up: after it there is another look,
-BUDGET_CHECK_MS = 20.0  # but not so soon, where the wait is no shorter
+BUDGET_CHECK_MS = 20.0  # but not so soon, where the wait is no shorter,
+LONGEST_CHECK_MS = 100.0  # and no later: peers that answer ten times as much end a wait that was long
 LEAST_WARMTH = 0.01  # that steps are measured by, as a server may have no capacity at all at first
 LEAST_WAIT_MS = 0.1  # so that rounding errors bring no looks without end
 
@@ -70,4 +71,5 @@
             return now + WEIGHT_STEP * max(warmth, LEAST_WARMTH) * self._settings.ramp_time_ms + LEAST_WAIT_MS
         # Most of the way: what comes in grows as it gets warmer, and as its peers answer more.
         wait_ms = (1.0 - server.budget.tokens) / server.budget_per_ms
-        return now + min(wait_ms, max(BUDGET_CHECK_MS, BUDGET_CHECK_SHARE * wait_ms)) + LEAST_WAIT_MS
+        check_ms = min(max(BUDGET_CHECK_MS, BUDGET_CHECK_SHARE * wait_ms), LONGEST_CHECK_MS)
+        return now + min(wait_ms, check_ms) + LEAST_WAIT_MS
