--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -141,7 +141,8 @@
                 await process.wait()
         except TimeoutError:
             # What it holds now and got in time is lost; callers tell.
-            process.kill()
+            with contextlib.suppress(ProcessLookupError):  # it has just ended by itself
+                process.kill()
             await process.wait()
         self._close_to_new()
         if process.returncode not in (0, -signal.SIGKILL):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import subprocess
 import sys
@@ -10,6 +11,9 @@
 
 import pytest
 
+from soak.callers import NodeView
+from soak.fleet import NodeProcess
+from soak.oracle import Oracle
 from soak.schedule import BadSchedule, Fault, FaultKind, Schedule, draw, read_schedule
 from soak.shrink import shrink
 from tests.broken_nodes import BROKEN_NODES, ROOT, BrokenNode
@@ -88,3 +92,34 @@
     shortest, plays = shrink(schedule, breaks, 200)
     assert [fault.target for fault in shortest.faults] == [3, 11]
     assert plays <= 200
+
+
+def test_a_node_that_ends_as_it_is_killed_is_no_crash(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Seed 501: the process had just ended when its time was over, and the kill raised."""
+
+    class Ending:
+        returncode: int | None = None
+
+        def send_signal(self, number: int) -> None:
+            pass
+
+        def kill(self) -> None:
+            self.returncode = 0
+            raise ProcessLookupError
+
+        async def wait(self) -> int:
+            while self.returncode is None:
+                await asyncio.sleep(0.01)
+            return self.returncode
+
+    async def test() -> None:
+        monkeypatch.setattr("soak.fleet.KILL_AFTER_TERM_S", 0.05)
+        oracle = Oracle(asyncio.get_running_loop().time, tuple, 50.0)
+        node = NodeProcess(oracle, NodeView(0, ("127.0.0.1", 1)), [], 1, tmp_path, tmp_path, None)
+        node._process = Ending()  # type: ignore[assignment]
+        await node.stop()
+        assert not oracle.violations
+
+    asyncio.run(test())
