--- a/review/common/server.py
+++ b/review/common/server.py
@@ -2,8 +2,8 @@
 
 It prints the servers' ports, appends JSON lines on each request to its log, and names in each body the
 request that the body answers. The servers drop repeats of a keyed request: a repeat gets the answer of the
-first run. With `--second-after-ms` they send some answers once more, that much later. With `--heavy-share`
-that share of the requests of one class costs `--heavy-factor` times the usual work.
+first run. With `--second-after-ms` they send some answers once more, that much later. With `--full-for-s`
+they are full for a while and turn each request away.
 """
 
 from __future__ import annotations
@@ -26,11 +26,8 @@
     parser.add_argument("--cores", type=int, default=1)
     parser.add_argument("--second-after-ms", type=float, default=0.0)
     parser.add_argument("--second-share", type=float, default=1.0, help="share of the answers sent twice")
-    parser.add_argument("--heavy-class", default="")
-    parser.add_argument("--heavy-share", type=float, default=0.0)
-    parser.add_argument("--heavy-factor", type=float, default=1.0)
-    parser.add_argument("--heavy-from", type=float, default=0.0, help="Unix time")
-    parser.add_argument("--heavy-for-s", type=float, default=0.0)
+    parser.add_argument("--full-from", type=float, default=0.0, help="Unix time")
+    parser.add_argument("--full-for-s", type=float, default=0.0)
     return parser.parse_args()
 
 
@@ -49,15 +46,9 @@
         line = {"at": time.time(), "server": server, "event": event, "id": request_id}
         self._log.write(json.dumps(line) + "\n")
 
-    def work_of(self, class_name: str, request_id: str) -> float:
-        """Return the work of a request in seconds; it is the same at every server."""
-        options = self.options
-        work_s: float = self.work_s[class_name]
-        is_heavy_time = 0.0 <= time.time() - options.heavy_from < options.heavy_for_s
-        if class_name == options.heavy_class and is_heavy_time:
-            is_heavy = random.Random(request_id).random() < options.heavy_share
-            return work_s * options.heavy_factor if is_heavy else work_s
-        return work_s
+    def is_full(self) -> bool:
+        """Return whether the servers turn requests away now."""
+        return 0.0 <= time.time() - self.options.full_from < self.options.full_for_s
 
 
 class Server:
@@ -87,6 +78,10 @@
         await reader.readexactly(int(headers.get("content-length", "0")))
         request_id = headers["x-call-id"]
         class_name = lines[0].split()[1].strip("/").partition("?")[0]
+        if self.cell.is_full():
+            self.cell.note(self.name, "turned away", request_id)
+            writer.write(b"HTTP/1.1 503 Full\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n")
+            return
         body = await self.run_once(class_name, request_id, headers.get("idempotency-key", ""))
         answer = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
         if writer.is_closing():
@@ -112,10 +107,9 @@
 
     async def run(self, class_name: str, request_id: str) -> bytes:
         """Do the work of a request and return the body of its answer."""
-        work_s = self.cell.work_of(class_name, request_id)
-        self.cell.note(self.name, f"runs, with {work_s:.3f} s of work,", request_id)
+        self.cell.note(self.name, "runs", request_id)
         async with self.cores:
-            await asyncio.sleep(work_s)
+            await asyncio.sleep(self.cell.work_s[class_name])
         return f"answer to {request_id} from {self.name}".encode()
 
     async def answer_again(self, writer: asyncio.StreamWriter, answer: bytes, request_id: str) -> None:
