--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -25,6 +25,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 SERVER = Path(__file__).with_name("server.py")
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+MAX_CASE_S = 105.0  # a script may run for 120 s
 READY_WITHIN_S = 30.0  # the deploy page: clients come once every node is ready, or after 30 s
 
 Json = dict[str, Any]
@@ -220,11 +221,15 @@
 
 
 def run(folder: Path, play: Callable[[Case], Awaitable[int]]) -> int:
-    """Play a case, end its processes, and return its exit status."""
+    """Play a case, end its processes, and return its exit status.
+
+    An error of the case, its time limit and SIGTERM all count as a case that could not run.
+    """
+    signal.signal(signal.SIGTERM, _on_sigterm)
     case = Case(folder)
     try:
         status = asyncio.run(_play(case, play))
-    except (CannotRunError, OSError) as problem:
+    except Exception as problem:
         case.record(f"could not run: {problem!r}")
         print(f"could not run: {problem!r}")
         status = COULD_NOT_RUN
@@ -233,8 +238,13 @@
     return status
 
 
+def _on_sigterm(_number: int, _frame: object) -> None:
+    sys.exit(COULD_NOT_RUN)
+
+
 async def _play(case: Case, play: Callable[[Case], Awaitable[int]]) -> int:
     loop = asyncio.get_running_loop()
     # Connections that are still open at the end are cut; that is no error of the case.
     loop.set_exception_handler(lambda _loop, _context: None)
-    return await play(case)
+    async with asyncio.timeout(MAX_CASE_S):
+        return await play(case)
