Hold a request's body in one buffer, so that small chunks take no extra memory

Cause: RequestParser kept each chunk as an object of its own until the request was complete and checked only the sum of their lengths. Two bytes took 35 and a place in a list, so a body within the limit of 64 KiB took 1.8 MB. Change: chunks are appended to one bytearray, whose size is bounded by the limit that is checked.

--- a/tests/peers.py
+++ b/tests/peers.py
@@ -187,6 +187,7 @@
     *servers: Server,
     start: bool = True,
     sockets: int = 1024,
+    memory_mb: int = 192,
     has_cached_list: bool = True,
     **changes: Any,
 ) -> AsyncIterator[NodeEnvironment]:
@@ -197,6 +198,7 @@
         servers: The servers that the discovery agent lists.
         start: Whether to start a node in this process.
         sockets: The limit on file descriptors in the configuration.
+        memory_mb: The limit on memory in the configuration.
         has_cached_list: Whether the cached endpoint list of the configuration contains the servers.
         changes: Changes to the settings, as for `settings`.
     """
@@ -209,7 +211,7 @@
         listen="127.0.0.1:0",
         discovery=agent.address,
         seed=SEED,
-        limits={"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+        limits={"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
         settings=settings(**changes),
         known=endpoint_list(1, agent.endpoints if has_cached_list else [], complete=True),
     )
--- a/tests/program.py
+++ b/tests/program.py
@@ -8,6 +8,7 @@
 import sys
 from pathlib import Path
 
+from standins.readiness import is_ready
 from tests.peers import WAIT_TIMEOUT_S, NodeEnvironment
 from tests.test_wire import ROOT
 from workspond.address import Address, parse_address
@@ -30,6 +31,14 @@
         environment.address = await read_listen_address(program.process)
         return program
 
+    async def wait_until_ready(self) -> None:
+        """Wait until the program's ready check succeeds."""
+        async with asyncio.timeout(WAIT_TIMEOUT_S):
+            while True:
+                if await is_ready(*self.environment.address):
+                    return
+                await asyncio.sleep(CONNECT_INTERVAL_S)
+
     async def wait_until_refusing(self) -> None:
         """Wait until the program refuses connections because its listener is closed."""
         async with asyncio.timeout(WAIT_TIMEOUT_S):
--- /dev/null
+++ b/tests/test_memory_limit.py
@@ -0,0 +1,97 @@
+"""The memory of a node's process stays within `limits.memory_mb`, whatever its clients send.
+
+The platform kills a node over its limit, and all its clients lose their requests. The limits of these tests
+are the lowest that a deployment may set.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+
+from standins.readiness import is_ready
+from tests.peers import Client, NodeEnvironment, Server, node_environment, run
+from tests.program import Program
+
+MEMORY_MB = 32
+DESCRIPTORS = 256
+# A few less than the clients that the node admits at this limit, so that none is turned away.
+PEER_COUNT = 135
+SAMPLE_INTERVAL_S = 0.01
+BYTES_PER_MB = 1024 * 1024
+MAX_BODY_BYTES = 64 * 1024
+
+HEAD = b"POST /pay HTTP/1.1\r\nHost: api.internal\r\nX-Call-Id: q\r\nX-Budget: 20\r\n"
+CHUNKED_HEAD = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+UNFINISHED_REQUESTS = {
+    "one long body": HEAD + b"Content-Length: %d\r\n\r\n" % MAX_BODY_BYTES + b"x" * (MAX_BODY_BYTES - 1),
+    "chunks of two bytes": CHUNKED_HEAD + b"2\r\nab\r\n" * (MAX_BODY_BYTES // 2 - 1),
+}
+
+
+def anonymous_memory_mb(pid: int) -> float:
+    """Return a process's own memory, without mapped files and libraries."""
+    status = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
+    kilobytes = int(status.partition("RssAnon:")[2].split()[0])
+    return kilobytes * 1024 / BYTES_PER_MB
+
+
+class MemorySampler:
+    """Samples the memory of a process.
+
+    Attributes:
+        peak_mb: The highest sample.
+    """
+
+    def __init__(self, pid: int) -> None:
+        self.peak_mb = 0.0
+        self._pid = pid
+
+    async def run(self) -> None:
+        """Take samples until the task is cancelled."""
+        while True:
+            self.peak_mb = max(self.peak_mb, anonymous_memory_mb(self._pid))
+            await asyncio.sleep(SAMPLE_INTERVAL_S)
+
+
+@contextlib.asynccontextmanager
+async def sampled_program(environment: NodeEnvironment) -> AsyncIterator[MemorySampler]:
+    """Run the program until it is ready, and sample its memory meanwhile."""
+    program = await Program.start(environment)
+    sampler = MemorySampler(program.process.pid)
+    task = asyncio.create_task(sampler.run())
+    await program.wait_until_ready()
+    try:
+        yield sampler
+    finally:
+        task.cancel()
+
+
+async def send_and_await_error(environment: NodeEnvironment, data: bytes) -> None:
+    """Send data on a new connection, and wait for an error or a close."""
+    with contextlib.suppress(ConnectionError):
+        client: Client = await environment.client()
+        client.write(data)
+        assert (await client.read()).status >= 400
+
+
+@pytest.mark.parametrize("data", UNFINISHED_REQUESTS.values(), ids=UNFINISHED_REQUESTS.keys())
+def test_many_unfinished_requests_stay_within_the_memory_limit(data: bytes, tmp_path: Path) -> None:
+    """Guards against a node that is killed because requests in small parts take many times their length."""
+
+    async def test() -> None:
+        async with (
+            node_environment(
+                tmp_path, Server(), start=False, sockets=DESCRIPTORS, memory_mb=MEMORY_MB
+            ) as environment,
+            sampled_program(environment) as sampler,
+        ):
+            await asyncio.gather(*(send_and_await_error(environment, data) for _ in range(PEER_COUNT)))
+            assert await is_ready(*environment.address)
+            assert sampler.peak_mb < MEMORY_MB
+
+    run(test())
--- a/workspond/http/request_parser.py
+++ b/workspond/http/request_parser.py
@@ -67,7 +67,8 @@
     def _start_message(self) -> None:
         self._target = b""
         self._headers: dict[bytes, bytes] = {}
-        self._body: list[bytes] = []
+        # One buffer: a bytes object for each chunk would take many times the memory of a short chunk.
+        self._body = bytearray()
         self._head_bytes = 0  # counts the bytes fed while the head is incomplete
         self._section_bytes = 0  # counts the parsed bytes of the headers, and then those of the body
         self._is_head_complete = False
@@ -153,7 +154,7 @@
         if self._section_bytes > MAX_BODY_BYTES:
             self._reject(413, "body over 64 KiB")
         elif not self.is_finished:
-            self._body.append(body)
+            self._body += body
 
     def on_message_complete(self) -> None:
         """Add the completed message to the result of `feed`."""
@@ -178,6 +179,6 @@
             method=self._parser.get_method(),
             target=self._target,
             headers=self._headers,
-            body=b"".join(self._body),
+            body=bytes(self._body),
             received_at_ms=self._received_at_ms,
         )
