Keep only the headers that the node uses, so that many short ones take no more memory

Cause: RequestParser kept every header and trailer in a dict until the request was complete. 2,600 empty headers with names of three letters fit into the 16 KiB of a head and take some 0.2 MB. Change: headers that the node does not use are counted and dropped. Those that it uses are the ones that must not repeat, so one set serves for both (SINGLE_VALUE_HEADERS is USED_HEADERS).

--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -8,6 +8,8 @@
 
 import asyncio
 import contextlib
+import itertools
+import string
 from collections.abc import AsyncIterator
 from pathlib import Path
 
@@ -27,9 +29,16 @@
 
 HEAD = b"POST /pay HTTP/1.1\r\nHost: api.internal\r\nX-Call-Id: q\r\nX-Budget: 20\r\n"
 CHUNKED_HEAD = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+# Distinct headers without values, which fit into the 16 KiB that a head may have.
+EMPTY_HEADERS = b"".join(
+    b"%s:\r\n" % bytes(letters)
+    for letters in itertools.islice(itertools.product(string.ascii_lowercase.encode(), repeat=3), 2600)
+)
 UNFINISHED_REQUESTS = {
     "one long body": HEAD + b"Content-Length: %d\r\n\r\n" % MAX_BODY_BYTES + b"x" * (MAX_BODY_BYTES - 1),
     "chunks of two bytes": CHUNKED_HEAD + b"2\r\nab\r\n" * (MAX_BODY_BYTES // 2 - 1),
+    "short headers": HEAD + EMPTY_HEADERS,
+    "short trailers": CHUNKED_HEAD + b"0\r\n" + EMPTY_HEADERS,
 }
 
 
--- a/workspond/http/request_parser.py
+++ b/workspond/http/request_parser.py
@@ -14,7 +14,7 @@
 
 from workspond.http.limits import MAX_BODY_BYTES, MAX_HEAD_BYTES
 from workspond.http.request import ClientRequest, InvalidRequestError
-from workspond.http.request_validator import SINGLE_VALUE_HEADERS, check_framing, validate_request
+from workspond.http.request_validator import USED_HEADERS, check_framing, validate_request
 from workspond.http.response import Response
 from workspond.policy.settings import RequestClass
 
@@ -124,14 +124,19 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header, or a trailer of a chunked body."""
+        """Store a header, or a trailer of a chunked body, if the node uses it.
+
+        Others are only counted, as each would take many times its length in memory.
+        """
         name = name.lower()
         self._section_bytes += len(name) + len(value)
         if self._section_bytes > MAX_HEAD_BYTES:
             self._reject(431, "headers too large")
-        elif name in SINGLE_VALUE_HEADERS and name in self._headers:
+        elif name not in USED_HEADERS or self.is_finished:
+            return
+        elif name in self._headers:
             self._reject(400, "a header came twice")
-        elif not self.is_finished:
+        else:
             self._headers[name] = value.strip()
 
     def on_headers_complete(self) -> None:
--- a/workspond/http/request_validator.py
+++ b/workspond/http/request_validator.py
@@ -13,8 +13,9 @@
 from workspond.http.request import ClientRequest, InvalidRequestError
 from workspond.policy.settings import Idempotency, RequestClass
 
-# These headers must not be repeated, as a server might use a different value than this node.
-SINGLE_VALUE_HEADERS = frozenset(
+# The headers that the node or a server uses. They must not be repeated, as a server might use a different
+# value than this node.
+USED_HEADERS = frozenset(
     (
         b"host",
         b"content-length",
