Reject a trailer that has no end, in place of collecting it without a limit

What callers would see: one peer that sends an endless trailer after a chunked body stops the node for all its clients; a server that answers so makes the node's memory grow for as long as the attempt lasts. Cause: httptools reports a trailer once it is complete, and appends what comes by copying all of it. Neither parser counted those bytes. Change: both count the bytes since the last reported header, trailer or part of a body against the limit of a head.

--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -41,6 +41,9 @@
     "short trailers": CHUNKED_HEAD + b"0\r\n" + EMPTY_HEADERS,
 }
 
+ENDLESS_TRAILER = CHUNKED_HEAD + b"0\r\nX-Pad: " + b"x" * 60_000_000
+MAX_ERROR_DELAY_S = 6.0  # holds for peers that have 60 MB to send
+
 
 def anonymous_memory_mb(pid: int) -> float:
     """Return a process's own memory, without mapped files and libraries."""
@@ -104,3 +107,21 @@
             assert sampler.peak_mb < MEMORY_MB
 
     run(test())
+
+
+def test_an_endless_trailer_is_rejected_in_time_and_within_the_memory_limit(tmp_path: Path) -> None:
+    """Guards against a node that collects a trailer without a limit and copies it anew with each read."""
+
+    async def test() -> None:
+        async with (
+            node_environment(
+                tmp_path, Server(), start=False, sockets=DESCRIPTORS, memory_mb=MEMORY_MB
+            ) as environment,
+            sampled_program(environment) as sampler,
+        ):
+            async with asyncio.timeout(MAX_ERROR_DELAY_S):
+                await send_and_await_error(environment, ENDLESS_TRAILER)
+                assert await is_ready(*environment.address)
+            assert sampler.peak_mb < MEMORY_MB
+
+    run(test())
--- a/tests/test_response_parser.py
+++ b/tests/test_response_parser.py
@@ -184,6 +184,15 @@
     assert feed_parts(STRICT, HEAD + padded + b"Content-Length: 3\r\n\r\n")[1] is ParseState.INCOMPLETE
 
 
+def test_a_trailer_over_the_limit_of_a_head_is_too_large() -> None:
+    """Guards against a trailer that is collected without a limit; complete trailers are not kept."""
+    before_trailers = CHUNKED[:-2]
+    state = feed_parts(STRICT, before_trailers, b"X-Pad: " + b"x" * 100, b"x" * 94)[1]
+    assert state is ParseState.TOO_LARGE
+    assert feed_parts(STRICT, before_trailers, b"X-Pad: " + b"x" * 100)[1] is ParseState.INCOMPLETE
+    assert feed_parts(STRICT, before_trailers, *[b"X-Pad: 1\r\n"] * 50, b"\r\n")[1] is ParseState.COMPLETE
+
+
 @pytest.mark.parametrize(
     "data",
     [
--- a/workspond/http/request_parser.py
+++ b/workspond/http/request_parser.py
@@ -61,6 +61,7 @@
         self.has_partial_message = False
         self.is_finished = False
         self._has_completed_message = False  # True if the data of the last `feed` completed a message
+        self._has_reported_part = False  # True if it completed a header or trailer or held a part of a body
         self._received_at_ms = 0.0  # the time at which the data of the last `feed` was received
         self._start_message()
 
@@ -69,7 +70,7 @@
         self._headers: dict[bytes, bytes] = {}
         # One buffer: a bytes object for each chunk would take many times the memory of a short chunk.
         self._body = bytearray()
-        self._head_bytes = 0  # counts the bytes fed while the head is incomplete
+        self._unreported_bytes = 0  # counts the bytes fed of an incomplete head, or of an incomplete trailer
         self._section_bytes = 0  # counts the parsed bytes of the headers, and then those of the body
         self._is_head_complete = False
 
@@ -88,24 +89,28 @@
         if self.is_finished:
             return self._messages
         self._has_completed_message = False
+        self._has_reported_part = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._reject(400, "upgrades are not supported")
         except httptools.HttpParserError:
             self._reject(400, "malformed HTTP")
-        self._check_unfinished_head(len(data))
+        self._check_unreported(len(data))
         return self._messages
 
-    def _check_unfinished_head(self, fed_bytes: int) -> None:
-        """Check the size of an incomplete head.
+    def _check_unreported(self, fed_bytes: int) -> None:
+        """Check the size of an incomplete head or trailer.
 
-        The bytes fed are counted, as httptools reports a header only once it is complete.
+        The bytes fed are counted, as httptools reports a header or trailer only once it is complete.
         """
-        if self._is_head_complete or self._has_completed_message:
+        if self._has_completed_message:
             return
-        self._head_bytes += fed_bytes
-        if self._head_bytes > MAX_HEAD_BYTES:
+        if self._is_head_complete and self._has_reported_part:
+            self._unreported_bytes = 0
+            return
+        self._unreported_bytes += fed_bytes
+        if self._unreported_bytes > MAX_HEAD_BYTES:
             self._reject(431, "headers too large")
 
     def _reject(self, status: int, reason: str) -> None:
@@ -128,6 +133,7 @@
 
         Others are only counted, as each would take many times its length in memory.
         """
+        self._has_reported_part = True
         name = name.lower()
         self._section_bytes += len(name) + len(value)
         if self._section_bytes > MAX_HEAD_BYTES:
@@ -142,6 +148,7 @@
     def on_headers_complete(self) -> None:
         """Check the length of the target, the framing and the announced body length."""
         self._is_head_complete = True
+        self._unreported_bytes = 0
         self._section_bytes = 0
         if len(self._target) > MAX_HEAD_BYTES:
             self._reject(431, "target too long")
@@ -155,6 +162,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
+        self._has_reported_part = True
         self._section_bytes += len(body)
         if self._section_bytes > MAX_BODY_BYTES:
             self._reject(413, "body over 64 KiB")
--- a/workspond/http/response_parser.py
+++ b/workspond/http/response_parser.py
@@ -31,7 +31,8 @@
 
     Attributes:
         header_names: The names of the headers to keep, in lower case and without framing headers.
-        max_head_bytes: The limit on the bytes read before the body begins, interim responses included.
+        max_head_bytes: The limit on the bytes read before the body begins, interim responses included, and on
+            those of an incomplete trailer.
         max_body_bytes: The limit on the body, and on the announced body length.
         max_message_bytes: The limit on the bytes read of a response that is still incomplete.
         allows_repeated_framing: Whether more than one framing header is allowed. Content-Length together with
@@ -71,7 +72,8 @@
     __slots__ = (
         "_rules",
         "_parser",
-        "_head_bytes",
+        "_unreported_bytes",
+        "_has_reported_part",
         "_body_bytes",
         "_message_bytes",
         "_status",
@@ -92,7 +94,8 @@
     def start(self) -> None:
         """Start a new response and discard the state of the previous one."""
         self._parser = httptools.HttpResponseParser(self)
-        self._head_bytes = 0
+        self._unreported_bytes = 0  # counts the bytes fed of an incomplete head, or of an incomplete trailer
+        self._has_reported_part = False  # True if the last feed completed a header or held a part of the body
         self._body_bytes = 0
         self._message_bytes = 0
         self._status = 0
@@ -108,20 +111,30 @@
     def feed(self, data: bytes) -> ParseState:
         """Parse a part of the response and return the new state."""
         self._message_bytes += len(data)
-        if not self._in_body:
-            self._head_bytes += len(data)
+        self._has_reported_part = False
         self._parse(data)
+        self._count_unreported(len(data))
         if self._failure is not None:
             return self._failure
         if self._is_complete:
             return ParseState.COMPLETE
-        # httptools reports a header only once it is complete, so only the bytes fed reveal an endless header.
-        if not self._in_body and self._head_bytes > self._rules.max_head_bytes:
+        if self._unreported_bytes > self._rules.max_head_bytes:
             return ParseState.TOO_LARGE
         if self._message_bytes > self._rules.max_message_bytes:
             return ParseState.TOO_LARGE
         return ParseState.INCOMPLETE
 
+    def _count_unreported(self, fed_bytes: int) -> None:
+        """Count the bytes of an incomplete head or trailer.
+
+        httptools reports a header or trailer only once it is complete, so only the bytes fed reveal an
+        endless one.
+        """
+        if self._in_body and self._has_reported_part:
+            self._unreported_bytes = 0
+        else:
+            self._unreported_bytes += fed_bytes
+
     def feed_eof(self) -> bool:
         """Handle an orderly close of the connection; return whether the close completes the response.
 
@@ -161,6 +174,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header, or a trailer of a chunked body."""
+        self._has_reported_part = True
         if self._ignores_rest:
             return
         name = name.lower()
@@ -177,6 +191,7 @@
 
     def on_headers_complete(self) -> None:
         """Store the status and check the framing."""
+        self._has_reported_part = True
         if self._ignores_rest:
             return
         self._status = self._parser.get_status_code()
@@ -187,6 +202,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body, from which the chunk framing is removed."""
+        self._has_reported_part = True
         if self._ignores_rest:
             return
         self._body_bytes += len(body)
