Hold a response's body in one buffer too: of servers, and of the discovery agent

Found as the same cause on a related path. Cause: ResponseParser kept each chunk as an object of its own, as RequestParser did. A list may have 8 MiB. Change: chunks are appended to one bytearray, whose length is also what the limit is checked against.

--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -1,7 +1,7 @@
-"""The memory of a node's process stays within `limits.memory_mb`, whatever its clients send.
+"""The memory of a node's process stays within `limits.memory_mb`, whatever its peers send.
 
-The platform kills a node over its limit, and all its clients lose their requests. The limits of these tests
-are the lowest that a deployment may set.
+Peers are clients, servers and the discovery agent. The platform kills a node over its limit, and all its
+clients lose their requests. The limits of these tests are the lowest that a deployment may set.
 """
 
 from __future__ import annotations
@@ -15,8 +15,9 @@
 
 import pytest
 
+from standins.endpoint_list import render_endpoint_list
 from standins.readiness import is_ready
-from tests.peers import Client, NodeEnvironment, Server, node_environment, run
+from tests.peers import Client, NodeEnvironment, Server, node_environment, request, run
 from tests.program import Program
 
 MEMORY_MB = 32
@@ -41,6 +42,11 @@
     "short trailers": CHUNKED_HEAD + b"0\r\n" + EMPTY_HEADERS,
 }
 
+CHUNKED_RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+UNFINISHED_RESPONSE = CHUNKED_RESPONSE_HEAD + b"2\r\nab\r\n" * (MAX_BODY_BYTES // 2 - 1)
+SERVER_COUNT = 20  # a node that has just started sends each server few requests at a time
+REQUEST_COUNT = 60
+MAX_LIST_BYTES = 2_000_000  # 7 MB in chunks of two bytes, of the 8 MiB that a list may have
 ENDLESS_TRAILER = CHUNKED_HEAD + b"0\r\nX-Pad: " + b"x" * 60_000_000
 MAX_ERROR_DELAY_S = 6.0  # holds for peers that have 60 MB to send
 
@@ -125,3 +131,43 @@
             assert sampler.peak_mb < MEMORY_MB
 
     run(test())
+
+
+def test_responses_in_small_chunks_stay_within_the_memory_limit(tmp_path: Path) -> None:
+    """Guards against a node that is killed because responses in small parts take many times their length."""
+
+    async def test() -> None:
+        servers = [Server(default=UNFINISHED_RESPONSE, name=f"s{number}") for number in range(SERVER_COUNT)]
+        async with (
+            node_environment(
+                tmp_path, *servers, start=False, sockets=DESCRIPTORS, memory_mb=MEMORY_MB
+            ) as environment,
+            sampled_program(environment) as sampler,
+        ):
+            requests = [request(f"{number}", "pay", budget="2") for number in range(REQUEST_COUNT)]
+            await asyncio.gather(*(send_and_await_error(environment, data) for data in requests))
+            assert sum(len(server.received) for server in servers) >= REQUEST_COUNT / 2
+            assert sampler.peak_mb < MEMORY_MB
+
+    run(test())
+
+
+def test_an_endpoint_list_in_small_chunks_is_used_and_stays_within_the_memory_limit(tmp_path: Path) -> None:
+    """Guards against a node that is killed because a list in small parts takes many times its length."""
+
+    async def test() -> None:
+        server = Server()
+        async with node_environment(
+            tmp_path, server, start=False, sockets=DESCRIPTORS, memory_mb=MEMORY_MB, has_cached_list=False
+        ) as environment:
+            listed = render_endpoint_list(1, [server.entry()], complete=True).ljust(MAX_LIST_BYTES)
+            chunks = b"".join(
+                b"2\r\n%s\r\n" % listed[start : start + 2] for start in range(0, MAX_LIST_BYTES, 2)
+            )
+            environment.agent.faulty_responses.append(CHUNKED_RESPONSE_HEAD + chunks + b"0\r\n\r\n")
+            async with sampled_program(environment) as sampler:
+                assert (await environment.send_request("a")).status == 200
+                assert not environment.agent.faulty_responses
+                assert sampler.peak_mb < MEMORY_MB
+
+    run(test())
--- a/workspond/http/request_parser.py
+++ b/workspond/http/request_parser.py
@@ -68,7 +68,7 @@
     def _start_message(self) -> None:
         self._target = b""
         self._headers: dict[bytes, bytes] = {}
-        # One buffer: a bytes object for each chunk would take many times the memory of a short chunk.
+        # A bytes object for each chunk would take many times the memory of a short chunk.
         self._body = bytearray()
         self._unreported_bytes = 0  # counts the bytes fed of an incomplete head, or of an incomplete trailer
         self._section_bytes = 0  # counts the parsed bytes of the headers, and then those of the body
--- a/workspond/http/response_parser.py
+++ b/workspond/http/response_parser.py
@@ -74,11 +74,10 @@
         "_parser",
         "_unreported_bytes",
         "_has_reported_part",
-        "_body_bytes",
         "_message_bytes",
         "_status",
         "_headers",
-        "_body_parts",
+        "_body",
         "_framing_count",
         "_in_body",
         "_is_complete",
@@ -96,11 +95,11 @@
         self._parser = httptools.HttpResponseParser(self)
         self._unreported_bytes = 0  # counts the bytes fed of an incomplete head, or of an incomplete trailer
         self._has_reported_part = False  # True if the last feed completed a header or held a part of the body
-        self._body_bytes = 0
         self._message_bytes = 0
         self._status = 0
         self._headers: dict[bytes, bytes] = {}
-        self._body_parts: list[bytes] = []
+        # A bytes object for each chunk would take many times the memory of a short chunk.
+        self._body = bytearray()
         self._framing_count = 0
         self._in_body = False
         self._is_complete = False
@@ -150,7 +149,7 @@
         """Return the response, which must be complete."""
         # If trailing data is parsed, the status is that of the status line parsed last.
         status = self._status if self._ignores_rest else self._parser.get_status_code()
-        return ParsedResponse(status, self._headers, b"".join(self._body_parts))
+        return ParsedResponse(status, self._headers, bytes(self._body))
 
     def _parse(self, data: bytes) -> None:
         try:
@@ -205,11 +204,10 @@
         self._has_reported_part = True
         if self._ignores_rest:
             return
-        self._body_bytes += len(body)
-        self._body_parts.append(body)
-        if self._body_bytes > self._rules.max_body_bytes:
+        self._body += body
+        if len(self._body) > self._rules.max_body_bytes:
             self._failure = ParseState.TOO_LARGE
-            self._body_parts.clear()
+            self._body.clear()
 
     def on_message_complete(self) -> None:
         """Handle the end of an interim or final response."""
