Bound what is read ahead of a pipelining client by its bytes, not only by its messages

Found as a related path: what waits in memory was bounded by a number of parts only. Cause: a connection queued up to eight messages of any length, and kept unparsed all that the event loop had read at once, up to 256 KB. Change: the queue counts as full at 16 KiB of targets and bodies too, and a read takes 16 KiB at most: the rest waits in the kernel, where it holds the client back.

--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -10,14 +10,14 @@
 import contextlib
 import itertools
 import string
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 
 import pytest
 
 from standins.endpoint_list import render_endpoint_list
 from standins.readiness import is_ready
-from tests.peers import Client, NodeEnvironment, Server, node_environment, request, run
+from tests.peers import HANG, Client, NodeEnvironment, Server, node_environment, request, run
 from tests.program import Program
 
 MEMORY_MB = 32
@@ -51,6 +51,12 @@
 MAX_ERROR_DELAY_S = 6.0  # holds for peers that have 60 MB to send
 
 
+def requests_with_long_queries(client: int) -> bytes:
+    """Render more requests of one client than the node queues, for a single write."""
+    query = "?" + "x" * 15_000
+    return b"".join(request(f"{client}-{number}", "pay", budget="2", query=query) for number in range(30))
+
+
 def anonymous_memory_mb(pid: int) -> float:
     """Return a process's own memory, without mapped files and libraries."""
     status = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
@@ -133,6 +139,27 @@
     run(test())
 
 
+@pytest.mark.parametrize("render", [requests_with_long_queries])
+def test_pipelined_requests_behind_a_slow_one_stay_within_the_memory_limit(
+    render: Callable[[int], bytes], tmp_path: Path
+) -> None:
+    """Guards against a node that is killed because it reads far ahead of the request that it serves."""
+
+    async def test() -> None:
+        async with (
+            node_environment(
+                tmp_path, Server(default=HANG), start=False, sockets=DESCRIPTORS, memory_mb=MEMORY_MB
+            ) as environment,
+            sampled_program(environment) as sampler,
+        ):
+            await asyncio.gather(
+                *(send_and_await_error(environment, render(client)) for client in range(PEER_COUNT))
+            )
+            assert sampler.peak_mb < MEMORY_MB
+
+    run(test())
+
+
 def test_responses_in_small_chunks_stay_within_the_memory_limit(tmp_path: Path) -> None:
     """Guards against a node that is killed because responses in small parts take many times their length."""
 
--- a/workspond/downstream/client_connection.py
+++ b/workspond/downstream/client_connection.py
@@ -19,6 +19,10 @@
 from workspond.observability.counters import CountedEvent, EventCounters
 from workspond.policy.settings import RequestClass
 
+MAX_READ_BYTES = 16 * 1024  # what is read at once may have to wait in memory until the queue has room
+# Holds what was read last, of any connection, until it is copied at once.
+_read_buffer = bytearray(MAX_READ_BYTES)
+
 
 class AcceptedRequest(Protocol):
     """The part of an accepted request that a client connection uses."""
@@ -63,7 +67,7 @@
         """Stop tracking a connection; a second call for the same connection does nothing."""
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """A client connection, on which one request at a time is processed, in the order of arrival."""
 
     def __init__(self, owner: ConnectionOwner) -> None:
@@ -89,11 +93,15 @@
         self._socket = self._transport.get_extra_info("socket")
         self._owner.connection_opened(self)
 
-    def data_received(self, data: bytes) -> None:
-        """Parse received data and process the requests that it completes."""
+    def get_buffer(self, _sizehint: int) -> bytearray:
+        """Return the buffer for the next read."""
+        return _read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse the data that was read and process the requests that it completes."""
         if self._is_input_ended or self._pipeline.is_finished:
             return
-        self._pipeline.receive(data, self._socket)
+        self._pipeline.receive(bytes(_read_buffer[:nbytes]), self._socket)
         self._process_messages()
         self._update_state()
 
@@ -183,7 +191,7 @@
         pipeline = self._pipeline
         pipeline.parse()
         while pipeline.messages and not self._awaits_response and not self._is_output_blocked():
-            message = pipeline.messages.popleft()
+            message = pipeline.next_message()
             if isinstance(message, ClientRequest):
                 self._accept(message)
             elif isinstance(message, ConnectionRejection):
--- a/workspond/downstream/listener.py
+++ b/workspond/downstream/listener.py
@@ -31,7 +31,7 @@
         self,
         loop: asyncio.AbstractEventLoop,
         address: Address,
-        protocol_factory: Callable[[], asyncio.Protocol],
+        protocol_factory: Callable[[], asyncio.BaseProtocol],
     ) -> None:
         """Bind the address and start to listen.
 
--- a/workspond/downstream/request_pipeline.py
+++ b/workspond/downstream/request_pipeline.py
@@ -17,6 +17,7 @@
 from workspond.http.response import Response
 
 MAX_QUEUED_MESSAGES = 8
+MAX_QUEUED_BYTES = 16 * 1024  # of targets and bodies; the last message queued may go beyond it
 # Data is parsed in chunks, as all messages that a chunk completes are queued, even those over the limit.
 PARSE_CHUNK_BYTES = 4096
 
@@ -24,8 +25,8 @@
 class RequestPipeline:
     """Parses the data that a connection receives and queues the messages.
 
-    The connection reads the attributes and takes messages from the queue; only the pipeline sets the
-    attributes. They are not properties, for speed, as they are read several times for each request.
+    Only the pipeline sets the attributes, which the connection reads. They are not properties, for speed, as
+    they are read several times for each request.
 
     Attributes:
         messages: The queue of parsed messages.
@@ -36,6 +37,7 @@
 
     __slots__ = (
         "_parser",
+        "_queued_bytes",
         "_unparsed_received_at_ms",
         "has_partial_message",
         "is_finished",
@@ -45,6 +47,7 @@
 
     def __init__(self, parser: RequestParser) -> None:
         self._parser = parser
+        self._queued_bytes = 0
         self._unparsed_received_at_ms = 0.0
         self.messages: deque[ParsedMessage] = deque()
         self.unparsed = b""
@@ -61,15 +64,27 @@
 
     def parse(self) -> None:
         """Parse stored data until the queue is full."""
-        while self.unparsed and len(self.messages) < MAX_QUEUED_MESSAGES and not self.is_finished:
+        while self.unparsed and not self.is_full() and not self.is_finished:
             chunk = self.unparsed[:PARSE_CHUNK_BYTES]
             self.unparsed = self.unparsed[PARSE_CHUNK_BYTES:]
-            self.messages.extend(self._parser.feed(chunk, self._unparsed_received_at_ms))
+            for message in self._parser.feed(chunk, self._unparsed_received_at_ms):
+                self.messages.append(message)
+                self._queued_bytes += _size_bytes(message)
             self.has_partial_message = self._parser.has_partial_message
             self.is_finished = self._parser.is_finished
         if self.is_finished:
             self.unparsed = b""
 
+    def is_full(self) -> bool:
+        """Return whether no more messages are parsed until one is taken from the queue."""
+        return len(self.messages) >= MAX_QUEUED_MESSAGES or self._queued_bytes >= MAX_QUEUED_BYTES
+
+    def next_message(self) -> ParsedMessage:
+        """Remove the first message from the queue, which must not be empty, and return it."""
+        message = self.messages.popleft()
+        self._queued_bytes -= _size_bytes(message)
+        return message
+
     def has_more(self) -> bool:
         """Return whether another message has been received, at least in part."""
         return bool(self.messages or self.unparsed or self.has_partial_message)
@@ -88,8 +103,15 @@
         self.messages = deque(
             response if isinstance(message, ClientRequest) else message for message in self.messages
         )
+        self._queued_bytes = 0
 
     def clear(self) -> None:
         """Drop the queued messages and the unparsed data."""
         self.messages.clear()
+        self._queued_bytes = 0
         self.unparsed = b""
+
+
+def _size_bytes(message: ParsedMessage) -> int:
+    """Return the length of what a message keeps in memory, without what is short in any message."""
+    return len(message.target) + len(message.body) if isinstance(message, ClientRequest) else 0
