Drop a response's body once it is passed on, not when the connection is freed

What callers would see: the node killed for memory on a deployment with long responses. Cause: the parser of a connection kept the body of its last response until the next one began. Idle connections held it for as long as they lived, and closed ones until a full garbage collection, as parser and connection refer to each other. Change: the body is dropped when the response is handed over, on connections to servers and to the discovery agent.

--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -17,7 +17,7 @@
 
 from standins.endpoint_list import render_endpoint_list
 from standins.readiness import is_ready
-from tests.peers import HANG, Client, NodeEnvironment, Server, node_environment, request, run
+from tests.peers import HANG, Client, NodeEnvironment, Server, node_environment, render_response, request, run
 from tests.program import Program
 
 MEMORY_MB = 32
@@ -47,6 +47,7 @@
 SERVER_COUNT = 20  # a node that has just started sends each server few requests at a time
 REQUEST_COUNT = 60
 MAX_LIST_BYTES = 2_000_000  # 7 MB in chunks of two bytes, of the 8 MiB that a list may have
+LONG_RESPONSE = render_response(200, b"x" * MAX_BODY_BYTES)
 ENDLESS_TRAILER = CHUNKED_HEAD + b"0\r\nX-Pad: " + b"x" * 60_000_000
 MAX_ERROR_DELAY_S = 6.0  # holds for peers that have 60 MB to send
 
@@ -198,3 +199,24 @@
                 assert sampler.peak_mb < MEMORY_MB
 
     run(test())
+
+
+def test_long_responses_on_many_connections_stay_within_the_memory_limit(tmp_path: Path) -> None:
+    """Guards against a node that is killed because idle and closed connections keep a response."""
+
+    async def test() -> None:
+        servers = [Server(default=LONG_RESPONSE, name=f"s{number}") for number in range(SERVER_COUNT)]
+        async with (
+            node_environment(
+                tmp_path, *servers, start=False, sockets=DESCRIPTORS, memory_mb=MEMORY_MB
+            ) as environment,
+            sampled_program(environment) as sampler,
+        ):
+            clients = [await environment.client() for _ in range(PEER_COUNT)]
+            for _ in range(5):
+                for number, client in enumerate(clients):
+                    client.write(request(f"{number}", "pay"))
+                await asyncio.gather(*(client.read() for client in clients))
+            assert sampler.peak_mb < MEMORY_MB
+
+    run(test())
--- a/workspond/discovery/agent_client.py
+++ b/workspond/discovery/agent_client.py
@@ -106,6 +106,7 @@
 
     def _report_response(self) -> None:
         response = self._parser.response()
+        self._parser.discard_body()
         self._client.response_completed(self, response, can_keep_alive=self._parser.can_keep_alive)
 
 
--- a/workspond/http/response_parser.py
+++ b/workspond/http/response_parser.py
@@ -151,6 +151,10 @@
         status = self._status if self._ignores_rest else self._parser.get_status_code()
         return ParsedResponse(status, self._headers, bytes(self._body))
 
+    def discard_body(self) -> None:
+        """Drop the body of a response that is passed on; the connection may stay idle for long."""
+        self._body = bytearray()
+
     def _parse(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
--- a/workspond/upstream/connection.py
+++ b/workspond/upstream/connection.py
@@ -160,6 +160,7 @@
 
     def _complete_attempt(self) -> None:
         parsed = self._parser.response()
+        self._parser.discard_body()
         load_report = parsed.headers.get(b"x-load-report")
         response = ServerResponse(
             parsed.status,
