Move the interfaces of client connections to a module of their own

What connections and the node use of each other stands in interfaces.py; the owner's protocol is generic over the connection, so that the modules do not import each other. No behaviour changes.

--- a/workspond/active_request.py
+++ b/workspond/active_request.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import Protocol
 
-from workspond.downstream.client_connection import ResponseReceiver
+from workspond.downstream.interfaces import ResponseReceiver
 from workspond.http.request import ClientRequest
 from workspond.observability.attempt_record import BlockedAttempt, EndedAttempt
 from workspond.upstream.send_guard import AttemptHistory
--- a/workspond/downstream/client_connection.py
+++ b/workspond/downstream/client_connection.py
@@ -7,70 +7,27 @@
 
 import asyncio
 import socket
-from typing import Protocol, cast
+from typing import cast
 
 from workspond.downstream.close_reason import AbandonReason, CloseReason, rejected_with
 from workspond.downstream.connection_states import ConnectionState
+from workspond.downstream.interfaces import AcceptedRequest, ConnectionOwner
 from workspond.downstream.request_pipeline import RequestPipeline
 from workspond.downstream.socket_state import has_client_closed, is_readable
 from workspond.http.request import ClientRequest, InvalidRequestError
 from workspond.http.request_parser import ConnectionRejection, RequestParser
 from workspond.http.response import Response, render
-from workspond.observability.counters import CountedEvent, EventCounters
-from workspond.policy.settings import RequestClass
+from workspond.observability.counters import CountedEvent
 
 MAX_READ_BYTES = 16 * 1024  # what is read at once may have to wait in memory until the queue has room
 # Holds what was read last, of any connection, until it is copied at once.
 _read_buffer = bytearray(MAX_READ_BYTES)
 
 
-class AcceptedRequest(Protocol):
-    """The part of an accepted request that a client connection uses."""
-
-    def abandon(self, reason: str) -> None:
-        """Cancel the request, because its client no longer waits for the response."""
-
-
-class ResponseReceiver(Protocol):
-    """The part of a client connection to which the node sends the response to a request."""
-
-    def send_response(self, response: Response) -> None:
-        """Send the response to the request; called at most once for each request."""
-
-    def has_disconnected(self) -> bool:
-        """Return whether the client no longer waits for the response."""
-
-
-class ConnectionOwner(Protocol):
-    """The part of the frontend that a client connection uses."""
-
-    classes: dict[str, RequestClass]
-    counters: EventCounters
-
-    def accept(self, request: ClientRequest, receiver: ResponseReceiver) -> AcceptedRequest:
-        """Pass a request to the node.
-
-        Raises:
-            InvalidRequestError: The node can't accept the request.
-        """
-
-    def internal_path_response(self, path: bytes) -> Response:
-        """Return the response to a request for one of the node's own paths."""
-
-    def connection_opened(self, connection: ClientConnection) -> None:
-        """Track a new connection."""
-
-    def connection_state_changed(self, connection: ClientConnection, state: ConnectionState) -> None:
-        """Record the state that a connection has entered."""
-
-    def connection_closed(self, connection: ClientConnection) -> None:
-        """Stop tracking a connection; a second call for the same connection does nothing."""
-
-
 class ClientConnection(asyncio.BufferedProtocol):
     """A client connection, on which one request at a time is processed, in the order of arrival."""
 
-    def __init__(self, owner: ConnectionOwner) -> None:
+    def __init__(self, owner: ConnectionOwner[ClientConnection]) -> None:
         self.state: ConnectionState | None = None  # set by the owner; None while the connection is not open
         self._owner = owner
         self._transport: asyncio.Transport
--- a/workspond/downstream/frontend.py
+++ b/workspond/downstream/frontend.py
@@ -7,9 +7,10 @@
 from typing import Protocol
 
 from workspond.address import Address
-from workspond.downstream.client_connection import AcceptedRequest, ClientConnection, ResponseReceiver
+from workspond.downstream.client_connection import ClientConnection
 from workspond.downstream.close_reason import CloseReason
 from workspond.downstream.connection_states import ConnectionState, ConnectionTable
+from workspond.downstream.interfaces import AcceptedRequest, ResponseReceiver
 from workspond.downstream.listener import Listener
 from workspond.http.request import ClientRequest
 from workspond.http.response import Response
--- a/workspond/node.py
+++ b/workspond/node.py
@@ -16,8 +16,8 @@
 )
 from workspond.discovery.endpoint_list import EndpointList
 from workspond.discovery.watcher import EndpointWatcher
-from workspond.downstream.client_connection import ResponseReceiver
 from workspond.downstream.frontend import Frontend
+from workspond.downstream.interfaces import ResponseReceiver
 from workspond.endpoint_table import EndpointTable
 from workspond.graceful_shutdown import MIN_SERVING_S, GracefulShutdown
 from workspond.http.request import ClientRequest
--- a/workspond/request_registry.py
+++ b/workspond/request_registry.py
@@ -11,8 +11,8 @@
 
 from workspond.active_request import ActiveRequest
 from workspond.clock import now_ms
-from workspond.downstream.client_connection import ResponseReceiver
 from workspond.downstream.close_reason import AbandonReason
+from workspond.downstream.interfaces import ResponseReceiver
 from workspond.http.request import ClientRequest, InvalidRequestError
 from workspond.http.response import Response
 from workspond.observability.counters import CountedEvent, EventCounters
