Bound the data that all client connections keep together by a fifth of the memory limit

Cause: no bound on the sum. Change: BufferBudget counts what connections keep (unparsed, queued and incomplete data, unsent responses, the request that is served). Over a fifth of limits.memory_mb parsing waits for one iteration, in which those with the most waiting data get 413, or are disconnected if it is unread responses. What belongs to a request that is served is counted and never dropped. One warning a second at most, and a reason among the counters. While unfinished bodies exceed the budget a short request is served, and only as many clients as needed are rejected.

--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -58,6 +58,12 @@
     return b"".join(request(f"{client}-{number}", "pay", budget="2", query=query) for number in range(30))
 
 
+def requests_with_long_bodies(client: int) -> bytes:
+    """Render more requests of one client than the node queues, for a single write."""
+    body = b"x" * MAX_BODY_BYTES
+    return b"".join(request(f"{client}-{number}", "pay", budget="2", body=body) for number in range(10))
+
+
 def anonymous_memory_mb(pid: int) -> float:
     """Return a process's own memory, without mapped files and libraries."""
     status = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
@@ -140,7 +146,7 @@
     run(test())
 
 
-@pytest.mark.parametrize("render", [requests_with_long_queries])
+@pytest.mark.parametrize("render", [requests_with_long_queries, requests_with_long_bodies])
 def test_pipelined_requests_behind_a_slow_one_stay_within_the_memory_limit(
     render: Callable[[int], bytes], tmp_path: Path
 ) -> None:
--- a/workspond/config.py
+++ b/workspond/config.py
@@ -12,7 +12,9 @@
 from workspond.policy.settings import Settings
 from workspond.settings_reader import read_settings
 
-DEFAULT_MAX_DESCRIPTORS = 1024  # used if the file sets no limit
+# Used if the file sets no limit
+DEFAULT_MAX_DESCRIPTORS = 1024
+DEFAULT_MAX_MEMORY_MB = 192
 HEX_DIGITS = re.compile("[0-9a-fA-F]+")
 
 
@@ -34,6 +36,7 @@
         discovery: The address of the discovery agent.
         seed: The seed of the node's random numbers.
         max_descriptors: The maximum number of file descriptors that the node may have open.
+        max_memory_mb: The memory over which the platform kills the node.
         cached_endpoints: The last endpoint list that the node had; it may be out of date.
         settings: The settings of the load-balancing policy.
     """
@@ -43,6 +46,7 @@
     discovery: Address
     seed: int
     max_descriptors: int
+    max_memory_mb: int
     cached_endpoints: EndpointList
     settings: Settings
 
@@ -81,6 +85,7 @@
         discovery=parse_address(required_field(fields, "discovery", str)),
         seed=_read_seed(fields),
         max_descriptors=optional_field(limits, "sockets", int, DEFAULT_MAX_DESCRIPTORS),
+        max_memory_mb=optional_field(limits, "memory_mb", int, DEFAULT_MAX_MEMORY_MB),
         cached_endpoints=_read_cached_endpoints(fields),
         settings=read_settings(required_field(fields, "settings", dict)),
     )
--- a/workspond/downstream/client_connection.py
+++ b/workspond/downstream/client_connection.py
@@ -9,10 +9,11 @@
 import socket
 from typing import cast
 
+from workspond.downstream.buffer_budget import NO_USE, BufferUse
 from workspond.downstream.close_reason import AbandonReason, CloseReason, rejected_with
 from workspond.downstream.connection_states import ConnectionState
 from workspond.downstream.interfaces import AcceptedRequest, ConnectionOwner
-from workspond.downstream.request_pipeline import RequestPipeline
+from workspond.downstream.request_pipeline import RequestPipeline, size_bytes
 from workspond.downstream.socket_state import has_client_closed, is_readable
 from workspond.http.request import ClientRequest, InvalidRequestError
 from workspond.http.request_parser import ConnectionRejection, RequestParser
@@ -40,6 +41,8 @@
         self._is_input_ended = False  # True after an EOF of the client, and if further input is ignored
         self._is_writing_paused = False  # True while the client does not read its responses
         self._is_reading_paused = False
+        self._served_bytes = 0  # the length of the active request
+        self._buffer_use = NO_USE  # as last recorded by the owner
         self._is_parsing_scheduled = False  # True while a callback will continue deferred parsing
 
     # Callbacks of the transport
@@ -97,6 +100,15 @@
     def _update_state(self) -> None:
         if self.state is not None:
             self._owner.connection_state_changed(self, self._current_state())
+            self.report_buffer_use()
+
+    def report_buffer_use(self) -> None:
+        """Record the memory that the connection's data takes, if that has changed."""
+        waiting_bytes = self._pipeline.waiting_bytes() + self._transport.get_write_buffer_size()
+        use = BufferUse(waiting_bytes, self._served_bytes)
+        if use != self._buffer_use:
+            self._buffer_use = use
+            self._owner.buffers.update(self, use)
 
     def _current_state(self) -> ConnectionState:
         if self._is_input_ended or self._is_writing_paused or self._transport.is_closing():
@@ -150,6 +162,8 @@
     def _process_messages(self) -> None:
         """Process queued messages until one awaits a response; then pause or resume reading."""
         pipeline = self._pipeline
+        if self._owner.buffers.is_exceeded:
+            pipeline.defer()
         pipeline.parse()
         while pipeline.messages and not self._awaits_response and not self._is_output_blocked():
             message = pipeline.next_message()
@@ -188,11 +202,13 @@
         self._has_accepted_request = True
         if self._awaits_response:  # False if the response was sent during `accept`
             self._active_request = active_request
+            self._served_bytes = size_bytes(request)
 
     def send_response(self, response: Response) -> None:
         """Write the response to the active request and continue with the next message."""
         self._active_request = None
         self._awaits_response = False
+        self._served_bytes = 0
         if not self._transport.is_closing():
             self._write(response)
             self._process_messages()
@@ -215,6 +231,7 @@
         request = self._active_request
         self._active_request = None
         self._awaits_response = False
+        self._served_bytes = 0
         if request is not None:
             request.abandon(reason)
 
@@ -252,6 +269,17 @@
             never_used = self.state is ConnectionState.AWAITING_FIRST_REQUEST
             self._close(CloseReason.NO_REQUEST if never_used else CloseReason.IDLE)
 
+    def drop_waiting_data(self) -> None:
+        """Answer pending requests and the incomplete one with errors, because memory is short.
+
+        A client that does not read its responses is disconnected.
+        """
+        if self._transport.get_write_buffer_size() > self._pipeline.waiting_bytes():
+            self.abort(CloseReason.MEMORY_SHORT)
+        else:
+            self._pipeline.reject(Response(413, b"memory is short"))
+            self._fail_pending_requests()
+
     def _fail_pending_requests(self) -> None:
         """Answer the requests before a rejection with errors, so that the rejection can be sent in time."""
         response = Response(504, b"given up")
--- a/workspond/downstream/close_reason.py
+++ b/workspond/downstream/close_reason.py
@@ -13,6 +13,7 @@
     RESPONSE_NOT_READ = "client did not read its response"
     NO_REQUEST = "no request in time"
     IDLE = "idle timeout"
+    MEMORY_SHORT = "memory is short"
 
 
 class AbandonReason(StrEnum):
--- a/workspond/downstream/frontend.py
+++ b/workspond/downstream/frontend.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from workspond.address import Address
+from workspond.downstream.buffer_budget import NO_USE, BufferBudget
 from workspond.downstream.client_connection import ClientConnection
 from workspond.downstream.close_reason import CloseReason
 from workspond.downstream.connection_states import ConnectionState, ConnectionTable
@@ -43,7 +44,9 @@
         self,
         classes: dict[str, RequestClass],
         handler: RequestHandler,
+        *,
         max_connections: int,
+        max_buffer_bytes: int,
         counters: EventCounters,
     ) -> None:
         """Create a frontend that does not listen yet.
@@ -52,11 +55,13 @@
             classes: The request classes by name.
             handler: Serves the requests.
             max_connections: The maximum number of open client connections.
+            max_buffer_bytes: The maximum length of the data that client connections keep together.
             counters: Counts closed connections by reason.
         """
         self.classes = classes
         self.counters = counters
         self.connections: ConnectionTable[ClientConnection] = ConnectionTable()
+        self.buffers: BufferBudget[ClientConnection] = BufferBudget(max_buffer_bytes)
         self._handler = handler
         self._max_connections = max_connections
         self._listener: Listener | None = None
@@ -130,6 +135,7 @@
     def connection_closed(self, connection: ClientConnection) -> None:
         """Stop tracking a connection; a second call for the same connection does nothing."""
         self.connections.remove(connection)
+        self.buffers.update(connection, NO_USE)
         if not self.connection_count():
             self._all_closed.set()
 
--- a/workspond/downstream/interfaces.py
+++ b/workspond/downstream/interfaces.py
@@ -4,13 +4,14 @@
 
 from typing import Protocol, TypeVar
 
+from workspond.downstream.buffer_budget import BufferBudget, BufferingConnection
 from workspond.downstream.connection_states import ConnectionState
 from workspond.http.request import ClientRequest
 from workspond.http.response import Response
 from workspond.observability.counters import EventCounters
 from workspond.policy.settings import RequestClass
 
-Connection_contra = TypeVar("Connection_contra", contravariant=True)
+Connection = TypeVar("Connection", bound=BufferingConnection)
 
 
 class AcceptedRequest(Protocol):
@@ -30,11 +31,12 @@
         """Return whether the client no longer waits for the response."""
 
 
-class ConnectionOwner(Protocol[Connection_contra]):
+class ConnectionOwner(Protocol[Connection]):
     """The part of the frontend that a client connection uses."""
 
     classes: dict[str, RequestClass]
     counters: EventCounters
+    buffers: BufferBudget[Connection]
 
     def accept(self, request: ClientRequest, receiver: ResponseReceiver) -> AcceptedRequest:
         """Pass a request to the node.
@@ -46,11 +48,11 @@
     def internal_path_response(self, path: bytes) -> Response:
         """Return the response to a request for one of the node's own paths."""
 
-    def connection_opened(self, connection: Connection_contra) -> None:
+    def connection_opened(self, connection: Connection) -> None:
         """Track a new connection."""
 
-    def connection_state_changed(self, connection: Connection_contra, state: ConnectionState) -> None:
+    def connection_state_changed(self, connection: Connection, state: ConnectionState) -> None:
         """Record the state that a connection has entered."""
 
-    def connection_closed(self, connection: Connection_contra) -> None:
+    def connection_closed(self, connection: Connection) -> None:
         """Stop tracking a connection; a second call for the same connection does nothing."""
--- a/workspond/downstream/request_pipeline.py
+++ b/workspond/downstream/request_pipeline.py
@@ -81,7 +81,7 @@
             self.unparsed = self.unparsed[PARSE_CHUNK_BYTES:]
             for message in self._parser.feed(chunk, self._unparsed_received_at_ms):
                 self.messages.append(message)
-                self._queued_bytes += _size_bytes(message)
+                self._queued_bytes += size_bytes(message)
             self.has_partial_message = self._parser.has_partial_message
             self.is_finished = self._parser.is_finished
             self._parsed_parts += self._parser.reported_parts
@@ -89,6 +89,10 @@
         if self.is_finished:
             self.unparsed = b""
 
+    def defer(self) -> None:
+        """Parse nothing more in this iteration of the event loop."""
+        self.is_deferred = bool(self.unparsed)
+
     def end_deferral(self) -> None:
         """Allow parsing in this iteration of the event loop."""
         self._parsed_parts = 0
@@ -102,10 +106,14 @@
         """Return whether no more messages are parsed until one is taken from the queue."""
         return len(self.messages) >= MAX_QUEUED_MESSAGES or self._queued_bytes >= MAX_QUEUED_BYTES
 
+    def waiting_bytes(self) -> int:
+        """Return the length of all data that the pipeline keeps."""
+        return len(self.unparsed) + self._queued_bytes + self._parser.partial_body_bytes()
+
     def next_message(self) -> ParsedMessage:
         """Remove the first message from the queue, which must not be empty, and return it."""
         message = self.messages.popleft()
-        self._queued_bytes -= _size_bytes(message)
+        self._queued_bytes -= size_bytes(message)
         return message
 
     def has_more(self) -> bool:
@@ -129,12 +137,13 @@
         self._queued_bytes = 0
 
     def clear(self) -> None:
-        """Drop the queued messages and the unparsed data."""
+        """Drop all data."""
+        self._parser.discard_body()
         self.messages.clear()
         self._queued_bytes = 0
         self.unparsed = b""
 
 
-def _size_bytes(message: ParsedMessage) -> int:
+def size_bytes(message: ParsedMessage) -> int:
     """Return the length of what a message keeps in memory, without what is short in any message."""
     return len(message.target) + len(message.body) if isinstance(message, ClientRequest) else 0
--- a/workspond/http/request_parser.py
+++ b/workspond/http/request_parser.py
@@ -101,6 +101,14 @@
         self._check_unreported(len(data))
         return self._messages
 
+    def partial_body_bytes(self) -> int:
+        """Return the length of the body of the incomplete message."""
+        return len(self._body)
+
+    def discard_body(self) -> None:
+        """Drop the body of a message, because it is complete and passed on, or will not be."""
+        self._body = bytearray()
+
     def _check_unreported(self, fed_bytes: int) -> None:
         """Check the size of an incomplete head or trailer.
 
@@ -183,6 +191,8 @@
             self._reject(400, str(error))
         else:
             self.is_finished = not self._parser.should_keep_alive()
+        if self._body:
+            self.discard_body()
 
     def _complete_message(self) -> ClientRequest | Response:
         """Return the validated request, or the response to a request for one of the node's own paths."""
--- a/workspond/node.py
+++ b/workspond/node.py
@@ -22,6 +22,7 @@
 from workspond.graceful_shutdown import MIN_SERVING_S, GracefulShutdown
 from workspond.http.request import ClientRequest
 from workspond.http.response import Response
+from workspond.memory_limits import max_client_buffer_bytes
 from workspond.observability.counters import CountedEvent, EventCounters
 from workspond.observability.request_trace import RequestTracer
 from workspond.policy.actions import (
@@ -84,7 +85,11 @@
         self._discovery = EndpointWatcher(loop, config.discovery, self)
         self._first_discovery_call_ended = False
         self.frontend = Frontend(
-            self._balancer.classes, self, max_client_connections(self._descriptor_limit), self.counters
+            self._balancer.classes,
+            self,
+            max_connections=max_client_connections(self._descriptor_limit),
+            max_buffer_bytes=max_client_buffer_bytes(config.max_memory_mb),
+            counters=self.counters,
         )
         self._shutdown = GracefulShutdown(self.frontend, self._requests, settings.classes)
 
