--- a/tests/test_buffer_budget.py
+++ b/tests/test_buffer_budget.py
@@ -58,6 +58,26 @@
     run(test())
 
 
+class FailingClient(BufferingClient):
+    """A connection that can't drop its data because of a fault."""
+
+    def drop_waiting_data(self) -> None:
+        raise RuntimeError
+
+
+def test_parsing_goes_on_after_a_connection_has_failed_to_drop_its_data() -> None:
+    """Guards against a node that parses nothing any more because of a fault in one connection."""
+
+    async def test() -> None:
+        asyncio.get_running_loop().set_exception_handler(lambda _loop, _context: None)
+        budget: BufferBudget[BufferingClient] = BufferBudget(100)
+        FailingClient(budget, 200, 0)
+        await asyncio.sleep(0)
+        assert not budget.is_exceeded
+
+    run(test())
+
+
 async def rejected_count(clients: list[Client]) -> int:
     """Return how many clients were sent an error because memory is short."""
     responses = await asyncio.gather(*(client.read() for client in clients))
--- a/workspond/downstream/buffer_budget.py
+++ b/workspond/downstream/buffer_budget.py
@@ -73,18 +73,24 @@
             asyncio.get_running_loop().call_soon(self._enforce)
 
     def _enforce(self) -> None:
+        """Drop waiting data while there is too much; parsing goes on afterwards, whatever happens here."""
+        total_before = self.total_bytes
+        try:
+            self._drop_excess()
+        finally:
+            self.is_exceeded = False
+        if self.total_bytes < total_before:
+            self._log_enforcement(total_before)
+
+    def _drop_excess(self) -> None:
         """Have connections drop their waiting data, those with the most first, while there is too much."""
         for connection in list(self._use):
             connection.report_buffer_use()
-        total_before = self.total_bytes
         for connection in sorted(self._use, key=self._waiting_bytes, reverse=True):
             if self.total_bytes <= self._limit_bytes:
                 break
             if self._waiting_bytes(connection):  # another connection's drop may have ended this one
                 connection.drop_waiting_data()
-        self.is_exceeded = False
-        if self.total_bytes < total_before:
-            self._log_enforcement(total_before)
 
     def _waiting_bytes(self, connection: Connection) -> int:
         return self._use.get(connection, NO_USE).waiting_bytes
