Query sockets for clients and servers by one module; shorter memory tests

connection.py polled its socket with lines that stood in downstream/socket_state.py too. The set-up that five memory tests repeated is limited_program. No behaviour, bound or assertion changes.

--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -102,6 +102,20 @@
         task.cancel()
 
 
+@contextlib.asynccontextmanager
+async def limited_program(
+    folder: Path, *servers: Server
+) -> AsyncIterator[tuple[NodeEnvironment, MemorySampler]]:
+    """Run the program with servers at the lowest limits, and sample its memory."""
+    async with (
+        node_environment(
+            folder, *servers, start=False, sockets=DESCRIPTORS, memory_mb=MEMORY_MB
+        ) as environment,
+        sampled_program(environment) as sampler,
+    ):
+        yield environment, sampler
+
+
 async def send_and_await_error(environment: NodeEnvironment, data: bytes) -> None:
     """Send data on a new connection, and wait for an error or a close."""
     with contextlib.suppress(ConnectionError):
@@ -115,12 +129,7 @@
     """Guards against a node that is killed because requests in small parts take many times their length."""
 
     async def test() -> None:
-        async with (
-            node_environment(
-                tmp_path, Server(), start=False, sockets=DESCRIPTORS, memory_mb=MEMORY_MB
-            ) as environment,
-            sampled_program(environment) as sampler,
-        ):
+        async with limited_program(tmp_path, Server()) as (environment, sampler):
             await asyncio.gather(*(send_and_await_error(environment, data) for _ in range(PEER_COUNT)))
             assert await is_ready(*environment.address)
             assert sampler.peak_mb < MEMORY_MB
@@ -132,12 +141,7 @@
     """Guards against a node that collects a trailer without a limit and copies it anew with each read."""
 
     async def test() -> None:
-        async with (
-            node_environment(
-                tmp_path, Server(), start=False, sockets=DESCRIPTORS, memory_mb=MEMORY_MB
-            ) as environment,
-            sampled_program(environment) as sampler,
-        ):
+        async with limited_program(tmp_path, Server()) as (environment, sampler):
             async with asyncio.timeout(MAX_ERROR_DELAY_S):
                 await send_and_await_error(environment, ENDLESS_TRAILER)
                 assert await is_ready(*environment.address)
@@ -153,12 +157,7 @@
     """Guards against a node that is killed because it reads far ahead of the request that it serves."""
 
     async def test() -> None:
-        async with (
-            node_environment(
-                tmp_path, Server(default=HANG), start=False, sockets=DESCRIPTORS, memory_mb=MEMORY_MB
-            ) as environment,
-            sampled_program(environment) as sampler,
-        ):
+        async with limited_program(tmp_path, Server(default=HANG)) as (environment, sampler):
             await asyncio.gather(
                 *(send_and_await_error(environment, render(client)) for client in range(PEER_COUNT))
             )
@@ -172,12 +171,7 @@
 
     async def test() -> None:
         servers = [Server(default=UNFINISHED_RESPONSE, name=f"s{number}") for number in range(SERVER_COUNT)]
-        async with (
-            node_environment(
-                tmp_path, *servers, start=False, sockets=DESCRIPTORS, memory_mb=MEMORY_MB
-            ) as environment,
-            sampled_program(environment) as sampler,
-        ):
+        async with limited_program(tmp_path, *servers) as (environment, sampler):
             requests = [request(f"{number}", "pay", budget="2") for number in range(REQUEST_COUNT)]
             await asyncio.gather(*(send_and_await_error(environment, data) for data in requests))
             assert sum(len(server.received) for server in servers) >= REQUEST_COUNT / 2
@@ -212,12 +206,7 @@
 
     async def test() -> None:
         servers = [Server(default=LONG_RESPONSE, name=f"s{number}") for number in range(SERVER_COUNT)]
-        async with (
-            node_environment(
-                tmp_path, *servers, start=False, sockets=DESCRIPTORS, memory_mb=MEMORY_MB
-            ) as environment,
-            sampled_program(environment) as sampler,
-        ):
+        async with limited_program(tmp_path, *servers) as (environment, sampler):
             clients = [await environment.client() for _ in range(PEER_COUNT)]
             for _ in range(5):
                 for number, client in enumerate(clients):
--- a/workspond/downstream/client_connection.py
+++ b/workspond/downstream/client_connection.py
@@ -14,11 +14,11 @@
 from workspond.downstream.connection_states import ConnectionState
 from workspond.downstream.interfaces import AcceptedRequest, ConnectionOwner
 from workspond.downstream.request_pipeline import RequestPipeline, size_bytes
-from workspond.downstream.socket_state import has_client_closed, is_readable
 from workspond.http.request import ClientRequest, InvalidRequestError
 from workspond.http.request_parser import ConnectionRejection, RequestParser
 from workspond.http.response import Response, render
 from workspond.observability.counters import CountedEvent
+from workspond.socket_state import has_peer_closed, is_readable
 
 MAX_READ_BYTES = 16 * 1024  # what is read at once may have to wait in memory until the queue has room
 # Holds what was read last, of any connection, until it is copied at once.
@@ -142,7 +142,7 @@
         """
         if self._is_input_ended or self._transport.is_closing():
             return True
-        if not has_client_closed(self._socket):
+        if not has_peer_closed(self._socket):
             return False
         self._end_input()
         if self._is_reading_paused:
--- a/workspond/downstream/request_pipeline.py
+++ b/workspond/downstream/request_pipeline.py
@@ -11,10 +11,10 @@
 from collections import deque
 
 from workspond.clock import now_ms
-from workspond.downstream.socket_state import last_data_age_ms
 from workspond.http.request import ClientRequest
 from workspond.http.request_parser import ConnectionRejection, ParsedMessage, RequestParser
 from workspond.http.response import Response
+from workspond.socket_state import last_data_age_ms
 
 MAX_QUEUED_MESSAGES = 8
 MAX_QUEUED_BYTES = 16 * 1024  # of targets and bodies; the last message queued may go beyond it
--- a/workspond/downstream/socket_state.py
+++ b/workspond/socket_state.py
@@ -1,4 +1,4 @@
-"""Queries the kernel about the state of a client's TCP socket."""
+"""Queries the kernel about the state of a TCP socket."""
 
 from __future__ import annotations
 
@@ -27,8 +27,8 @@
     return _poll(connection, select.POLLIN)
 
 
-def has_client_closed(connection: socket.socket) -> bool:
-    """Return whether the client has closed the connection or its sending side, even if data is unread."""
+def has_peer_closed(connection: socket.socket) -> bool:
+    """Return whether the peer has closed the connection or its sending side, even if data is unread."""
     return _poll(connection, select.POLLRDHUP)
 
 
--- a/workspond/upstream/connection.py
+++ b/workspond/upstream/connection.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import select
 from typing import Protocol, cast
 
 from workspond.address import Address
@@ -16,6 +15,7 @@
 from workspond.http.limits import MAX_BODY_BYTES, MAX_HEAD_BYTES
 from workspond.http.response_parser import ParsedResponse, ParseState, ResponseParser, ResponseRules
 from workspond.policy.events import Outcome
+from workspond.socket_state import is_readable
 from workspond.upstream.attempt import Attempt, ServerResponse
 from workspond.upstream.load_report import parse_load_report
 
@@ -143,9 +143,7 @@
         return self._is_open and not self._transport.is_closing() and self._is_readable()
 
     def _is_readable(self) -> bool:
-        poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return is_readable(self._transport.get_extra_info("socket"))
 
     def send(self, attempt: Attempt) -> None:
         """Write the request of an attempt and start to wait for its response."""
