Count waiting data only where there is any, so that short requests cost no more

Change: the queue's bytes are summed when they are asked for, use is compared before it is recorded, a served request under 1 KiB is not counted, parsers keep their buffer, and take_response gives a response and drops its body in one call (tests follow the name and keep their checks).

--- a/tests/test_response_parser.py
+++ b/tests/test_response_parser.py
@@ -74,7 +74,7 @@
     for parts in ([data], single_bytes(data)):
         parser, state = feed_parts(rules, *parts)
         assert state is ParseState.COMPLETE
-        response = parser.response()
+        response = parser.take_response()
         assert (response.status, response.body) == (status, body)
         assert parser.can_keep_alive
 
@@ -91,14 +91,14 @@
 
 def test_only_the_requested_headers_are_kept_with_the_last_value_of_a_repeated_one() -> None:
     data = response_with_length(b"a", b"X-Mark: one\r\nX-Other: 1\r\nx-mArK: two\r\n")
-    assert feed_parts(STRICT, data)[0].response().headers == {b"x-mark": b"two"}
-    assert feed_parts(LENIENT, data)[0].response().headers == {}
+    assert feed_parts(STRICT, data)[0].take_response().headers == {b"x-mark": b"two"}
+    assert feed_parts(LENIENT, data)[0].take_response().headers == {}
 
 
 def test_headers_of_interim_responses_are_discarded_and_trailers_kept() -> None:
-    assert feed_parts(STRICT, INTERIM + response_with_length(b"a"))[0].response().headers == {}
+    assert feed_parts(STRICT, INTERIM + response_with_length(b"a"))[0].take_response().headers == {}
     trailer = CHUNKED[:-2] + b"X-Mark: late\r\n\r\n"
-    assert feed_parts(STRICT, INTERIM + trailer)[0].response().headers == {b"x-mark": b"late"}
+    assert feed_parts(STRICT, INTERIM + trailer)[0].take_response().headers == {b"x-mark": b"late"}
 
 
 @STRICT_AND_LENIENT
@@ -107,7 +107,7 @@
         parser, state = feed_parts(rules, HEAD + b"\r\n" + body)
         assert state is ParseState.INCOMPLETE
         assert parser.feed_eof()
-        assert parser.response().body == body
+        assert parser.take_response().body == body
         assert not parser.can_keep_alive
         assert not parser.feed_eof()  # the response was complete already
 
@@ -118,7 +118,7 @@
     parser, state = feed_parts(rules, interim + HEAD + b"\r\nabcde")
     assert state is ParseState.INCOMPLETE
     assert parser.feed_eof()
-    assert parser.response().body == b"abcde"
+    assert parser.take_response().body == b"abcde"
 
 
 @STRICT_AND_LENIENT
@@ -160,7 +160,7 @@
 def test_repeated_transfer_encoding_is_malformed_unless_the_rules_allow_it() -> None:
     assert feed_parts(STRICT, REPEATED_TRANSFER_ENCODING)[1] is ParseState.MALFORMED
     parser, state = feed_parts(replace(STRICT, allows_repeated_framing=True), REPEATED_TRANSFER_ENCODING)
-    assert state is ParseState.COMPLETE and parser.response().body == b"abcde"
+    assert state is ParseState.COMPLETE and parser.take_response().body == b"abcde"
 
 
 @STRICT_AND_LENIENT
@@ -210,7 +210,7 @@
 
 def test_a_body_of_exactly_its_limit_is_complete() -> None:
     parser, state = feed_parts(STRICT, response_with_length(b"x" * 10))
-    assert state is ParseState.COMPLETE and parser.response().body == b"x" * 10
+    assert state is ParseState.COMPLETE and parser.take_response().body == b"x" * 10
 
 
 def test_a_response_over_the_message_limit_is_too_large_unless_complete() -> None:
@@ -242,7 +242,8 @@
 def test_ignored_trailing_data_only_prevents_reuse_of_the_connection(trailing_data: bytes) -> None:
     parser, state = feed_parts(STRICT, response_with_length(b"one") + trailing_data)
     assert state is ParseState.COMPLETE
-    assert (parser.response().status, parser.response().body) == (200, b"one")
+    response = parser.take_response()
+    assert (response.status, response.body) == (200, b"one")
     assert not parser.can_keep_alive
 
 
@@ -252,7 +253,8 @@
         LENIENT, response_with_length(b"one") + response_with_length(b"two", status=500)
     )
     assert state is ParseState.COMPLETE
-    assert (parser.response().status, parser.response().body) == (500, b"onetwo")
+    response = parser.take_response()
+    assert (response.status, response.body) == (500, b"onetwo")
 
 
 def test_an_upgrade_after_a_complete_response_is_malformed_even_if_trailing_data_is_ignored() -> None:
@@ -266,7 +268,7 @@
     for body in (b"one", b"", b"three"):
         parser.start()
         assert parser.feed(response_with_length(body)) is ParseState.COMPLETE
-        assert parser.response().body == body
+        assert parser.take_response().body == body
     parser.start()
     assert parser.feed(b"\x00") is ParseState.MALFORMED
     parser.start()
--- a/workspond/discovery/agent_client.py
+++ b/workspond/discovery/agent_client.py
@@ -105,8 +105,7 @@
         self._client.connection_failed(self, CallFailure.CONNECTION_LOST)
 
     def _report_response(self) -> None:
-        response = self._parser.response()
-        self._parser.discard_body()
+        response = self._parser.take_response()
         self._client.response_completed(self, response, can_keep_alive=self._parser.can_keep_alive)
 
 
--- a/workspond/downstream/client_connection.py
+++ b/workspond/downstream/client_connection.py
@@ -21,6 +21,8 @@
 from workspond.socket_state import has_peer_closed, is_readable
 
 MAX_READ_BYTES = 16 * 1024  # what is read at once may have to wait in memory until the queue has room
+# A shorter request that is being served is not counted, as most are and counting takes time.
+MIN_COUNTED_BYTES = 1024
 # Holds what was read last, of any connection, until it is copied at once.
 _read_buffer = bytearray(MAX_READ_BYTES)
 
@@ -41,7 +43,7 @@
         self._is_input_ended = False  # True after an EOF of the client, and if further input is ignored
         self._is_writing_paused = False  # True while the client does not read its responses
         self._is_reading_paused = False
-        self._served_bytes = 0  # the length of the active request
+        self._served_bytes = 0  # the length of the active request, or 0 if it is short
         self._buffer_use = NO_USE  # as last recorded by the owner
         self._is_parsing_scheduled = False  # True while a callback will continue deferred parsing
 
@@ -104,11 +106,13 @@
 
     def report_buffer_use(self) -> None:
         """Record the memory that the connection's data takes, if that has changed."""
-        waiting_bytes = self._pipeline.waiting_bytes() + self._transport.get_write_buffer_size()
-        use = BufferUse(waiting_bytes, self._served_bytes)
-        if use != self._buffer_use:
-            self._buffer_use = use
-            self._owner.buffers.update(self, use)
+        waiting_bytes: int = self._transport.get_write_buffer_size()
+        pipeline = self._pipeline
+        if pipeline.unparsed or pipeline.messages or pipeline.has_partial_message:
+            waiting_bytes += pipeline.waiting_bytes()
+        if (waiting_bytes, self._served_bytes) != self._buffer_use:
+            self._buffer_use = BufferUse(waiting_bytes, self._served_bytes)
+            self._owner.buffers.update(self, self._buffer_use)
 
     def _current_state(self) -> ConnectionState:
         if self._is_input_ended or self._is_writing_paused or self._transport.is_closing():
@@ -166,7 +170,7 @@
             pipeline.defer()
         pipeline.parse()
         while pipeline.messages and not self._awaits_response and not self._is_output_blocked():
-            message = pipeline.next_message()
+            message = pipeline.messages.popleft()
             if isinstance(message, ClientRequest):
                 self._accept(message)
             elif isinstance(message, ConnectionRejection):
@@ -202,7 +206,8 @@
         self._has_accepted_request = True
         if self._awaits_response:  # False if the response was sent during `accept`
             self._active_request = active_request
-            self._served_bytes = size_bytes(request)
+            served_bytes = size_bytes(request)
+            self._served_bytes = served_bytes if served_bytes >= MIN_COUNTED_BYTES else 0
 
     def send_response(self, response: Response) -> None:
         """Write the response to the active request and continue with the next message."""
--- a/workspond/downstream/request_pipeline.py
+++ b/workspond/downstream/request_pipeline.py
@@ -41,7 +41,6 @@
     __slots__ = (
         "_parsed_parts",
         "_parser",
-        "_queued_bytes",
         "_unparsed_received_at_ms",
         "has_partial_message",
         "is_deferred",
@@ -53,7 +52,6 @@
     def __init__(self, parser: RequestParser) -> None:
         self._parser = parser
         self._parsed_parts = 0  # since the last read, or since parsing was deferred
-        self._queued_bytes = 0
         self._unparsed_received_at_ms = 0.0
         self.is_deferred = False
         self.messages: deque[ParsedMessage] = deque()
@@ -79,9 +77,7 @@
         while self.unparsed and not (self.is_full() or self.is_finished or self.is_deferred):
             chunk = self.unparsed[:PARSE_CHUNK_BYTES]
             self.unparsed = self.unparsed[PARSE_CHUNK_BYTES:]
-            for message in self._parser.feed(chunk, self._unparsed_received_at_ms):
-                self.messages.append(message)
-                self._queued_bytes += size_bytes(message)
+            self.messages.extend(self._parser.feed(chunk, self._unparsed_received_at_ms))
             self.has_partial_message = self._parser.has_partial_message
             self.is_finished = self._parser.is_finished
             self._parsed_parts += self._parser.reported_parts
@@ -104,17 +100,14 @@
 
     def is_full(self) -> bool:
         """Return whether no more messages are parsed until one is taken from the queue."""
-        return len(self.messages) >= MAX_QUEUED_MESSAGES or self._queued_bytes >= MAX_QUEUED_BYTES
+        return len(self.messages) >= MAX_QUEUED_MESSAGES or self._queued_bytes() >= MAX_QUEUED_BYTES
 
     def waiting_bytes(self) -> int:
         """Return the length of all data that the pipeline keeps."""
-        return len(self.unparsed) + self._queued_bytes + self._parser.partial_body_bytes()
+        return len(self.unparsed) + self._queued_bytes() + self._parser.partial_body_bytes()
 
-    def next_message(self) -> ParsedMessage:
-        """Remove the first message from the queue, which must not be empty, and return it."""
-        message = self.messages.popleft()
-        self._queued_bytes -= size_bytes(message)
-        return message
+    def _queued_bytes(self) -> int:
+        return sum(map(size_bytes, self.messages))
 
     def has_more(self) -> bool:
         """Return whether another message has been received, at least in part."""
@@ -134,13 +127,11 @@
         self.messages = deque(
             response if isinstance(message, ClientRequest) else message for message in self.messages
         )
-        self._queued_bytes = 0
 
     def clear(self) -> None:
         """Drop all data."""
         self._parser.discard_body()
         self.messages.clear()
-        self._queued_bytes = 0
         self.unparsed = b""
 
 
--- a/workspond/http/request_parser.py
+++ b/workspond/http/request_parser.py
@@ -59,6 +59,9 @@
         self._classes = classes
         self._internal_path_response = internal_path_response
         self._parser = httptools.HttpRequestParser(self)
+        # The body of the incomplete message, empty between messages. A bytes object for each chunk would take
+        # many times the memory of a short chunk.
+        self._body = bytearray()
         self._messages: list[ParsedMessage] = []  # holds the messages that the last `feed` completed
         self.has_partial_message = False
         self.is_finished = False
@@ -70,8 +73,6 @@
     def _start_message(self) -> None:
         self._target = b""
         self._headers: dict[bytes, bytes] = {}
-        # A bytes object for each chunk would take many times the memory of a short chunk.
-        self._body = bytearray()
         self._unreported_bytes = 0  # counts the bytes fed of an incomplete head, or of an incomplete trailer
         self._section_bytes = 0  # counts the parsed bytes of the headers, and then those of the body
         self._is_head_complete = False
@@ -107,7 +108,7 @@
 
     def discard_body(self) -> None:
         """Drop the body of a message, because it is complete and passed on, or will not be."""
-        self._body = bytearray()
+        self._body.clear()
 
     def _check_unreported(self, fed_bytes: int) -> None:
         """Check the size of an incomplete head or trailer.
@@ -191,8 +192,7 @@
             self._reject(400, str(error))
         else:
             self.is_finished = not self._parser.should_keep_alive()
-        if self._body:
-            self.discard_body()
+        self.discard_body()
 
     def _complete_message(self) -> ClientRequest | Response:
         """Return the validated request, or the response to a request for one of the node's own paths."""
--- a/workspond/http/response_parser.py
+++ b/workspond/http/response_parser.py
@@ -88,6 +88,8 @@
 
     def __init__(self, rules: ResponseRules) -> None:
         self._rules = rules
+        # A bytes object for each chunk would take many times the memory of a short chunk.
+        self._body = bytearray()
         self.start()
 
     def start(self) -> None:
@@ -98,8 +100,7 @@
         self._message_bytes = 0
         self._status = 0
         self._headers: dict[bytes, bytes] = {}
-        # A bytes object for each chunk would take many times the memory of a short chunk.
-        self._body = bytearray()
+        self._body.clear()
         self._framing_count = 0
         self._in_body = False
         self._is_complete = False
@@ -112,7 +113,12 @@
         self._message_bytes += len(data)
         self._has_reported_part = False
         self._parse(data)
-        self._count_unreported(len(data))
+        # httptools reports a header or trailer only once it is complete, so only the bytes fed reveal an
+        # endless one.
+        if self._in_body and self._has_reported_part:
+            self._unreported_bytes = 0
+        else:
+            self._unreported_bytes += len(data)
         if self._failure is not None:
             return self._failure
         if self._is_complete:
@@ -123,17 +129,6 @@
             return ParseState.TOO_LARGE
         return ParseState.INCOMPLETE
 
-    def _count_unreported(self, fed_bytes: int) -> None:
-        """Count the bytes of an incomplete head or trailer.
-
-        httptools reports a header or trailer only once it is complete, so only the bytes fed reveal an
-        endless one.
-        """
-        if self._in_body and self._has_reported_part:
-            self._unreported_bytes = 0
-        else:
-            self._unreported_bytes += fed_bytes
-
     def feed_eof(self) -> bool:
         """Handle an orderly close of the connection; return whether the close completes the response.
 
@@ -145,15 +140,13 @@
         self.can_keep_alive = False
         return True
 
-    def response(self) -> ParsedResponse:
-        """Return the response, which must be complete."""
+    def take_response(self) -> ParsedResponse:
+        """Return the response, which must be complete, and drop its body, as the connection may stay idle."""
         # If trailing data is parsed, the status is that of the status line parsed last.
         status = self._status if self._ignores_rest else self._parser.get_status_code()
-        return ParsedResponse(status, self._headers, bytes(self._body))
-
-    def discard_body(self) -> None:
-        """Drop the body of a response that is passed on; the connection may stay idle for long."""
-        self._body = bytearray()
+        body = bytes(self._body)
+        self._body.clear()
+        return ParsedResponse(status, self._headers, body)
 
     def _parse(self, data: bytes) -> None:
         try:
--- a/workspond/upstream/connection.py
+++ b/workspond/upstream/connection.py
@@ -157,8 +157,7 @@
             attempt.is_written = not self._is_writing_paused
 
     def _complete_attempt(self) -> None:
-        parsed = self._parser.response()
-        self._parser.discard_body()
+        parsed = self._parser.take_response()
         load_report = parsed.headers.get(b"x-load-report")
         response = ServerResponse(
             parsed.status,
