--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -8,12 +8,20 @@
 
 import pytest
 
-from tests.client_helpers import open_connection_count, open_request_count, running_node
+from tests.client_helpers import open_connection_count, open_request_count, ready_node, running_node
 from tests.peers import Server, node_environment, render_response, request, run, until
 
 PIPELINED_COUNT = 20  # more requests than the node queues
 
 
+LONGEST_BODY = bytes(range(256)) * 256
+SMALL_CHUNKS_REQUEST = (
+    request("chunked", "pay").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+    + b"".join(b"2\r\n%s\r\n" % LONGEST_BODY[start : start + 2] for start in range(0, len(LONGEST_BODY), 2))
+    + b"0\r\n\r\n"
+)
+
+
 def pipelined_requests(count: int) -> bytes:
     """Render a number of requests for a single write."""
     return b"".join(request(f"{number}") for number in range(count))
@@ -37,6 +45,35 @@
     run(test())
 
 
+def test_a_body_in_many_small_chunks_and_the_request_behind_it_are_served(tmp_path: Path) -> None:
+    """Parsing such a body takes several iterations of the event loop."""
+
+    async def test() -> None:
+        server = Server()
+        async with node_environment(tmp_path, server) as environment:
+            client = await environment.client()
+            client.write(SMALL_CHUNKS_REQUEST + request("next"))
+            assert [(await client.read()).status for _ in range(2)] == [200, 200]
+            assert [message.request_id for message in server.received] == ["chunked", "next"]
+            assert server.received[0].body == LONGEST_BODY
+
+    run(test())
+
+
+def test_a_request_that_is_partly_parsed_when_the_node_drains_is_answered(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with node_environment(tmp_path, Server()) as environment:
+            frontend = (await ready_node(environment)).frontend
+            client = await environment.client()
+            client.write(SMALL_CHUNKS_REQUEST)
+            connections = frontend.connections
+            await until(lambda: any(each._is_parsing_scheduled for each in connections.all()))
+            await frontend.drain()
+            assert (await client.read()).status == 200
+
+    run(test())
+
+
 FIRST_REQUEST = request("first")
 INCOMPLETE_REQUEST = request("second", "pay", body=b"whole")[:-2]
 INVALID_TAILS = {
