Log why requests end, attempts repeat and connections close, and what the process uses

Change: a line usage: each 10 s; the warning has resident_bytes; counters each 10 s; request lines have the reason of the policy (EndReason), which does not go on the wire; attempt_retried counts retries by the outcome before; each connection that the node closes gets a line with reason, state and waiting bytes, 20 a second at most. No decision changes.

--- a/tests/test_request_trace.py
+++ b/tests/test_request_trace.py
@@ -8,6 +8,7 @@
 import pytest
 
 from tests.peers import Server, node_environment, render_response, run
+from workspond.policy.actions import EndReason
 from workspond.policy.token_bucket import TokenBucket
 
 MAX_LINES = 2
@@ -31,6 +32,51 @@
     assert " outcome=ERROR " in line and line.count(";") == 0
 
 
+def test_a_request_without_servers_is_logged_with_the_reason_of_its_rejection(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level(logging.INFO, "workspond")
+
+    async def test() -> None:
+        async with node_environment(tmp_path) as environment:
+            await environment.send_request("a", "pay", budget="0.1")
+
+    run(test())
+    [line] = [text for text in caplog.messages if text.startswith("request ")]
+    assert f'reason="{EndReason.QUEUE_TIMEOUT.value}"' in line
+
+
+def test_a_retried_attempt_is_counted_with_the_outcome_before_it(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level(logging.INFO, "workspond")
+
+    async def test() -> None:
+        async with node_environment(tmp_path, Server(render_response(500)), Server(name="t")) as environment:
+            await environment.send_request("a", "read")
+            await environment.send_request("b", "read")
+
+    run(test())
+    [line] = [text for text in caplog.messages if text.startswith("counts: ")]
+    assert "attempt_retried[ERROR]=1" in line
+
+
+def test_a_closed_connection_is_logged_with_its_state_and_reason(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level(logging.INFO, "workspond")
+
+    async def test() -> None:
+        async with node_environment(tmp_path, Server()) as environment:
+            client = await environment.client()
+            client.write(b"noise\r\n\r\n")
+            assert (await client.read()).status == 400
+
+    run(test())
+    line, *_ = [text for text in caplog.messages if text.startswith("connection closed: ")]
+    assert 'reason="rejected with 400" state=AWAITING_FIRST_REQUEST waiting_bytes=' in line
+
+
 class UnrefilledBucket(TokenBucket):
     """A token bucket that is never refilled, however slow the machine is."""
 
--- a/workspond/attempt_runner.py
+++ b/workspond/attempt_runner.py
@@ -114,6 +114,8 @@
         self._start(outgoing, timeout_ms, new_connection=action.new_connection)
 
     def _start(self, outgoing: OutgoingAttempt, timeout_ms: float, *, new_connection: bool) -> None:
+        if outgoing.request.attempts_started:
+            self._counters.increment(CountedEvent.ATTEMPT_RETRIED, last_outcome(outgoing.request))
         outgoing.request.attempts_started += 1
         attempt = self._pool.send(
             outgoing.server_id, outgoing.address, outgoing, timeout_ms, new_connection=new_connection
@@ -192,6 +194,12 @@
         return refusal
 
 
+def last_outcome(request: ActiveRequest) -> str:
+    """Return the name of the outcome of the attempt that ended last."""
+    ended = [record for record in request.attempt_records if isinstance(record, EndedAttempt)]
+    return ended[-1].outcome.name if ended else "none"
+
+
 def _record_end(outgoing: OutgoingAttempt, outcome: Outcome, duration_ms: float) -> None:
     """Record the outcome for the log line that is written if the request fails."""
     request = outgoing.request
--- a/workspond/downstream/buffer_budget.py
+++ b/workspond/downstream/buffer_budget.py
@@ -11,6 +11,8 @@
 import math
 from typing import Generic, NamedTuple, Protocol, TypeVar
 
+from workspond.observability.resource_usage import resident_bytes
+
 MIN_LOG_INTERVAL_S = 1.0  # each enforcement may drop the data of many connections, again and again
 
 log = logging.getLogger("workspond")
@@ -101,8 +103,10 @@
             return
         self._last_logged_at_s = now_s
         log.warning(
-            "data of clients dropped, memory is short: before_bytes=%d after_bytes=%d limit_bytes=%d",
+            "data of clients dropped, memory is short: before_bytes=%d after_bytes=%d limit_bytes=%d"
+            " resident_bytes=%d",
             total_before,
             self.total_bytes,
             self._limit_bytes,
+            resident_bytes(),
         )
--- a/workspond/downstream/client_connection.py
+++ b/workspond/downstream/client_connection.py
@@ -9,6 +9,7 @@
 import socket
 from typing import cast
 
+from workspond.address import format_address
 from workspond.downstream.buffer_budget import NO_USE, BufferUse
 from workspond.downstream.close_reason import AbandonReason, CloseReason, rejected_with
 from workspond.downstream.connection_states import ConnectionState
@@ -17,7 +18,6 @@
 from workspond.http.request import ClientRequest, InvalidRequestError
 from workspond.http.request_parser import ConnectionRejection, RequestParser
 from workspond.http.response import Response, render
-from workspond.observability.counters import CountedEvent
 from workspond.socket_state import has_peer_closed, is_readable
 
 MAX_READ_BYTES = 16 * 1024  # what is read at once may have to wait in memory until the queue has room
@@ -297,7 +297,7 @@
 
     def _reject(self, rejection: ConnectionRejection) -> None:
         """Write the error that ends the connection; all earlier requests must have been answered."""
-        self._count_close(rejected_with(rejection.response.status))
+        self._owner.tracer.record_close(self, rejected_with(rejection.response.status))
         self._end_input()
         self._transport.write(render(rejection.response, close=True))
         self._close_when_written()
@@ -317,18 +317,30 @@
 
     def _close(self, reason: CloseReason) -> None:
         """Close a connection that has no pending response."""
-        self._count_close(reason)
+        self._owner.tracer.record_close(self, reason)
         self._is_draining = True
         self._transport.close()
         self._update_state()
 
     def abort(self, reason: CloseReason) -> None:
         """Close at once, without the pending responses."""
-        self._count_close(reason)
+        self._owner.tracer.record_close(self, reason)
         self._is_input_ended = True
         # The socket must no longer count as in use, and `connection_lost` is only called later.
         self._owner.connection_closed(self)
         self._transport.abort()
 
-    def _count_close(self, reason: str) -> None:
-        self._owner.counters.increment(CountedEvent.CONNECTION_CLOSED, reason)
+    # For the log
+
+    def peer_name(self) -> str:
+        """Return the client's `host:port`."""
+        address = self._transport.get_extra_info("peername")
+        return format_address(address[:2]) if address else "unknown"
+
+    def state_name(self) -> str:
+        """Return the name of the connection's state."""
+        return self.state.name if self.state is not None else "CLOSED"
+
+    def waiting_bytes(self) -> int:
+        """Return the length of the data that waits on the connection."""
+        return self._buffer_use.waiting_bytes
--- a/workspond/downstream/frontend.py
+++ b/workspond/downstream/frontend.py
@@ -15,6 +15,7 @@
 from workspond.downstream.listener import Listener
 from workspond.http.request import ClientRequest
 from workspond.http.response import Response
+from workspond.observability.connection_trace import ConnectionTracer
 from workspond.observability.counters import EventCounters
 from workspond.policy.settings import RequestClass
 
@@ -59,7 +60,7 @@
             counters: Counts closed connections by reason.
         """
         self.classes = classes
-        self.counters = counters
+        self.tracer = ConnectionTracer(counters)
         self.connections: ConnectionTable[ClientConnection] = ConnectionTable()
         self.buffers: BufferBudget[ClientConnection] = BufferBudget(max_buffer_bytes)
         self._handler = handler
--- a/workspond/downstream/interfaces.py
+++ b/workspond/downstream/interfaces.py
@@ -8,7 +8,7 @@
 from workspond.downstream.connection_states import ConnectionState
 from workspond.http.request import ClientRequest
 from workspond.http.response import Response
-from workspond.observability.counters import EventCounters
+from workspond.observability.connection_trace import ConnectionTracer
 from workspond.policy.settings import RequestClass
 
 Connection = TypeVar("Connection", bound=BufferingConnection)
@@ -35,7 +35,7 @@
     """The part of the frontend that a client connection uses."""
 
     classes: dict[str, RequestClass]
-    counters: EventCounters
+    tracer: ConnectionTracer
     buffers: BufferBudget[Connection]
 
     def accept(self, request: ClientRequest, receiver: ResponseReceiver) -> AcceptedRequest:
--- a/workspond/node.py
+++ b/workspond/node.py
@@ -25,6 +25,7 @@
 from workspond.memory_limits import max_client_buffer_bytes
 from workspond.observability.counters import CountedEvent, EventCounters
 from workspond.observability.request_trace import RequestTracer
+from workspond.observability.resource_usage import ResourceUsage, start_usage_report
 from workspond.policy.actions import (
     CancelAttempt,
     CloseIdleConnections,
@@ -99,6 +100,7 @@
         The node becomes ready when the first call has ended and a server is in service.
         """
         self.counters.start_periodic_report(self._loop)
+        start_usage_report(self._loop, self.resource_usage)
         self._policy.handle(NodeStarted())
         if not self._config.settings.requires_subscription:
             self._discovery.subscribe()
@@ -126,6 +128,16 @@
         self._discovery.close()
         self.counters.log_summary()
 
+    def resource_usage(self) -> ResourceUsage:
+        """Return what the node uses now."""
+        return ResourceUsage(
+            buffered_bytes=self.frontend.buffers.total_bytes,
+            client_connections=self.frontend.connection_count(),
+            server_connections=self._upstream.connection_count(),
+            requests=len(self._requests.active),
+            attempts=len(self._attempts.in_flight),
+        )
+
     def _available_descriptors(self) -> int:
         return available_descriptors(
             self._descriptor_limit, self.frontend.connection_count(), self._upstream.connection_count()
@@ -184,7 +196,7 @@
                 delay_s = action.delay_ms / 1000.0
                 self._loop.call_later(delay_s, self._policy.handle, TimerFired(action.token))
             case FailRequest():
-                self._requests.finish(action.request_id, Response(502, b"failed"))
+                self._requests.finish(action.request_id, Response(502, b"failed"), action.reason.value)
             case RejectRequest():
                 self._reject(action)
             case CancelAttempt():
@@ -198,4 +210,5 @@
 
     def _reject(self, action: RejectRequest) -> None:
         retry_after_s = action.retry_after_ms / 1000.0 or None  # 0 means no Retry-After
-        self._requests.finish(action.request_id, Response(503, b"refused", retry_after_s=retry_after_s))
+        response = Response(503, b"refused", retry_after_s=retry_after_s)
+        self._requests.finish(action.request_id, response, action.reason.value)
--- a/workspond/observability/counters.py
+++ b/workspond/observability/counters.py
@@ -11,7 +11,7 @@
 from collections import Counter
 from enum import Enum
 
-REPORT_INTERVAL_S = 60.0
+REPORT_INTERVAL_S = 10.0
 
 log = logging.getLogger("workspond")
 
@@ -21,7 +21,9 @@
 
     CONNECTION_CLOSED = "connection_closed"  # counts client connections that the node closed
     REQUEST_ANSWERED = "request_answered"  # the reason is the HTTP status
+    REQUEST_ENDED = "request_ended"  # counts requests that the policy ended without a server's response
     REQUEST_ABANDONED = "request_abandoned"
+    ATTEMPT_RETRIED = "attempt_retried"  # counts attempts after the first; the reason is the last outcome
     ATTEMPT_ENDED = "attempt_ended"  # the reason is the outcome
     ATTEMPT_BLOCKED = "attempt_blocked"  # counts attempts that were not written
     DISCOVERY_FAILED = "discovery_failed"  # counts failed calls to the discovery agent
--- a/workspond/policy/actions.py
+++ b/workspond/policy/actions.py
@@ -6,7 +6,8 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from enum import Enum
 
 
 @dataclass(slots=True)
@@ -30,11 +31,27 @@
     send_within_ms: float = math.inf
 
 
+class EndReason(Enum):
+    """The reason why the policy ends a request without a server's answer."""
+
+    LOAD_SHED = "load shed"
+    NO_TIME_TO_QUEUE = "no time left to wait in the queue"
+    QUEUE_TIMEOUT = "time in the queue over"
+    RETRY_DENIED = "retry denied by the controller"
+    NO_USEFUL_ATTEMPT = "no further attempt allowed or in time"
+
+
 @dataclass(slots=True)
 class FailRequest:
-    """End the request with an error, which does not tell the client whether the request ran."""
+    """End the request with an error, which does not tell the client whether the request ran.
+
+    Attributes:
+        request_id: The id of the request.
+        reason: The reason for the log.
+    """
 
     request_id: str
+    reason: EndReason = field(default=EndReason.NO_USEFUL_ATTEMPT, compare=False)
 
 
 @dataclass(slots=True)
@@ -44,10 +61,12 @@
     Attributes:
         request_id: The id of the request.
         retry_after_ms: The time that the client is advised to wait before a retry; 0 for no advice.
+        reason: The reason for the log.
     """
 
     request_id: str
     retry_after_ms: float = 0.0
+    reason: EndReason = field(default=EndReason.NO_USEFUL_ATTEMPT, compare=False)
 
 
 @dataclass(slots=True)
--- a/workspond/policy/balancer.py
+++ b/workspond/policy/balancer.py
@@ -18,7 +18,14 @@
 
 import random
 
-from workspond.policy.actions import FailRequest, PolicyAction, RejectRequest, SetTimer, Subscribe
+from workspond.policy.actions import (
+    EndReason,
+    FailRequest,
+    PolicyAction,
+    RejectRequest,
+    SetTimer,
+    Subscribe,
+)
 from workspond.policy.admission import AdmissionController
 from workspond.policy.attempt_sender import AttemptSender
 from workspond.policy.call import Call
@@ -141,7 +148,7 @@
         if event.tenant is not None:
             call.over_quota = self._quotas.count_request(event.tenant, now_ms)
         if self.admission.should_shed(call, now_ms):
-            self._reject_or_fail(call)
+            self._reject_or_fail(call, EndReason.LOAD_SHED)
         else:
             self._send_or_wait(call, now_ms)
 
@@ -164,7 +171,7 @@
         if call is None or call.id not in self._calls:
             return
         if call.is_queued:
-            self._reject_or_fail(call)
+            self._reject_or_fail(call, EndReason.QUEUE_TIMEOUT)
         else:
             self._send_or_wait(call, now_ms)
 
@@ -197,7 +204,7 @@
         slack_ms = 2.0 * self.settings.tick_ms
         wait_ms = self._queue.queue_deadline_at_ms(call) - now_ms
         if wait_ms <= slack_ms:
-            self._reject_or_fail(call)
+            self._reject_or_fail(call, EndReason.NO_TIME_TO_QUEUE)
         else:
             self._queue.add(call)
             self._actions.append(self._timers.set(call, wait_ms - slack_ms))
@@ -257,7 +264,7 @@
             elapsed_backoff_ms = event.duration_ms if event.outcome is Outcome.TIMEOUT else 0.0
             self._schedule_attempt_or_end(call, now_ms, elapsed_backoff_ms)
         else:
-            self._reject_or_fail(call)
+            self._reject_or_fail(call, EndReason.RETRY_DENIED)
 
     def _record_possible_run(self, call: Call, outcome: Outcome) -> None:
         """Record the first attempt that may have run: later attempts must go to its deduplication group."""
@@ -279,11 +286,11 @@
         objective_ratio = self.typical_delay.objective_ratio
         wait_ms = self.retry_policy.next_wait_ms(call, now_ms, objective_ratio, elapsed_backoff_ms)
         if wait_ms is None:
-            self._reject_or_fail(call)
+            self._reject_or_fail(call, EndReason.NO_USEFUL_ATTEMPT)
         else:
             self._actions.append(self._timers.set(call, wait_ms))
 
-    def _reject_or_fail(self, call: Call) -> None:
+    def _reject_or_fail(self, call: Call, reason: EndReason) -> None:
         """End a request without a server's answer: reject it if the client may safely retry, else fail it."""
         if self._calls.pop(call.id, None) is None:
             return
@@ -291,6 +298,6 @@
         if self.retry_policy.is_client_retry_harmless(call):
             # Advise the longest wait that clients follow, as the tier has no capacity now. When the advice
             # was the short backoff of a retry, clients came back at once and kept the tier overloaded.
-            self._actions.append(RejectRequest(call.id, self.settings.max_retry_after_ms))
+            self._actions.append(RejectRequest(call.id, self.settings.max_retry_after_ms, reason))
         else:
-            self._actions.append(FailRequest(call.id))
+            self._actions.append(FailRequest(call.id, reason))
--- a/workspond/request_registry.py
+++ b/workspond/request_registry.py
@@ -81,14 +81,21 @@
         self._set_deadline_timer(request)
         return request
 
-    def finish(self, key: str, response: Response) -> None:
-        """Send the response to a request, unless the request has been answered or abandoned."""
+    def finish(self, key: str, response: Response, reason: str = "") -> None:
+        """Send the response to a request, unless the request has been answered or abandoned.
+
+        Args:
+            key: The key of the request.
+            response: The response.
+            reason: Why the request ends without a server's response; empty if it is served.
+        """
         request = self.active.get(key)
         if request is None or not self._remove(request):
             return
         self._counters.increment(CountedEvent.REQUEST_ANSWERED, str(response.status))
         if response.status != 200:
-            self._tracer.log_failure(request, response.status)
+            self._counters.increment(CountedEvent.REQUEST_ENDED, reason)
+            self._tracer.log_failure(request, response.status, reason)
         request.receiver.send_response(response)
 
     def abandon(self, request: ActiveRequest, reason: str = AbandonReason.CLIENT_DISCONNECTED) -> None:
@@ -146,6 +153,6 @@
             response.status,
         )
         self._counters.increment(CountedEvent.REQUEST_ANSWERED, str(response.status))
-        self._tracer.log_failure(request, response.status)
+        self._tracer.log_failure(request, response.status, "deadline")
         request.receiver.send_response(response)
         self._policy.handle(RequestAbandoned(request.key))
