--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -17,15 +17,13 @@
 
 from standins.endpoint_list import render_endpoint_list
 from standins.readiness import is_ready
+from tests.memory_sampler import MemorySampler, sampled_program
 from tests.peers import HANG, Client, NodeEnvironment, Server, node_environment, render_response, request, run
-from tests.program import Program
 
 MEMORY_MB = 32
 DESCRIPTORS = 256
 # A few less than the clients that the node admits at this limit, so that none is turned away.
 PEER_COUNT = 135
-SAMPLE_INTERVAL_S = 0.01
-BYTES_PER_MB = 1024 * 1024
 MAX_BODY_BYTES = 64 * 1024
 
 HEAD = b"POST /pay HTTP/1.1\r\nHost: api.internal\r\nX-Call-Id: q\r\nX-Budget: 20\r\n"
@@ -64,44 +62,6 @@
     return b"".join(request(f"{client}-{number}", "pay", budget="2", body=body) for number in range(10))
 
 
-def anonymous_memory_mb(pid: int) -> float:
-    """Return a process's own memory, without mapped files and libraries."""
-    status = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
-    kilobytes = int(status.partition("RssAnon:")[2].split()[0])
-    return kilobytes * 1024 / BYTES_PER_MB
-
-
-class MemorySampler:
-    """Samples the memory of a process.
-
-    Attributes:
-        peak_mb: The highest sample.
-    """
-
-    def __init__(self, pid: int) -> None:
-        self.peak_mb = 0.0
-        self._pid = pid
-
-    async def run(self) -> None:
-        """Take samples until the task is cancelled."""
-        while True:
-            self.peak_mb = max(self.peak_mb, anonymous_memory_mb(self._pid))
-            await asyncio.sleep(SAMPLE_INTERVAL_S)
-
-
-@contextlib.asynccontextmanager
-async def sampled_program(environment: NodeEnvironment) -> AsyncIterator[MemorySampler]:
-    """Run the program until it is ready, and sample its memory meanwhile."""
-    program = await Program.start(environment)
-    sampler = MemorySampler(program.process.pid)
-    task = asyncio.create_task(sampler.run())
-    await program.wait_until_ready()
-    try:
-        yield sampler
-    finally:
-        task.cancel()
-
-
 @contextlib.asynccontextmanager
 async def limited_program(
     folder: Path, *servers: Server
