Release requests and parsers when they end, not at the next garbage collection

What callers saw: nodes killed for memory; one cause of several. Cause: RequestParser kept the list of the messages that its last feed completed, so each idle connection kept the body of its last request; and the parsers of httptools and ours refer to each other, so closed connections stayed until a garbage collection. Change: feed hands its messages over; connections close their parser when they are lost, in the same way for clients, servers and the agent. tests/test_released_memory.py failed in all seven cases before.

--- /dev/null
+++ b/tests/test_released_memory.py
@@ -0,0 +1,81 @@
+"""What a connection no longer needs is released at once, without a garbage collection."""
+
+from __future__ import annotations
+
+import contextlib
+import gc
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from tests.client_helpers import INCOMPLETE_REQUESTS, ready_node
+from tests.peers import RESET, Server, node_environment, request, run, until
+from workspond.downstream.client_connection import ClientConnection
+from workspond.http.request import ClientRequest
+from workspond.http.request_parser import RequestParser
+from workspond.http.response_parser import ResponseParser
+from workspond.upstream.connection import ServerConnection
+
+BODY_BYTES = 60_000
+
+
+@contextlib.contextmanager
+def no_garbage_collection() -> Iterator[None]:
+    """Collect garbage now and not again until the end."""
+    gc.collect()
+    gc.disable()
+    try:
+        yield
+    finally:
+        gc.enable()
+
+
+def count_live(kind: type) -> int:
+    """Return the number of objects of a class in memory."""
+    return sum(isinstance(each, kind) for each in gc.get_objects())
+
+
+def test_an_answered_request_is_released_while_its_connection_stays_open(tmp_path: Path) -> None:
+    """Guards against idle connections that each keep the body of their last request."""
+
+    async def test() -> None:
+        async with node_environment(tmp_path, Server()) as environment:
+            client = await environment.client()
+            with no_garbage_collection():
+                await client.send_request("a", "pay", body=b"x" * BODY_BYTES)
+                await until(lambda: not count_live(ClientRequest))
+
+    run(test())
+
+
+@pytest.mark.parametrize("data", [*INCOMPLETE_REQUESTS.values(), b"noise\r\n\r\n", request("a", "pay")])
+def test_a_closed_connection_is_released(data: bytes, tmp_path: Path) -> None:
+    """Guards against memory that grows while clients come and go faster than garbage is collected."""
+
+    async def test() -> None:
+        async with node_environment(tmp_path, Server()) as environment:
+            node = await ready_node(environment)
+            with no_garbage_collection():
+                client = await environment.client()
+                client.write(data)
+                await until(lambda: bool(node.frontend.connections.all()))
+                client.writer.close()
+                await until(lambda: not count_live(ClientConnection) and not count_live(RequestParser))
+
+    run(test())
+
+
+def test_a_connection_that_the_server_ended_is_released(tmp_path: Path) -> None:
+    """Guards against memory that grows while servers end many connections."""
+
+    async def test() -> None:
+        async with node_environment(tmp_path, Server(default=RESET)) as environment:
+            node = await ready_node(environment)
+            with no_garbage_collection():
+                await environment.send_request("a", "pay")
+                await until(lambda: not node.resource_usage().server_connections)
+                # The one that is left belongs to the connection to the discovery agent.
+                await until(lambda: count_live(ServerConnection) == 0 and count_live(ResponseParser) == 1)
+
+    run(test())
--- a/workspond/discovery/agent_client.py
+++ b/workspond/discovery/agent_client.py
@@ -74,6 +74,8 @@
         """Close the connection immediately, if it has been opened."""
         if self._is_connected:
             self._transport.abort()
+        else:
+            self._parser.close()
 
     # Methods of asyncio.Protocol
 
@@ -103,6 +105,7 @@
     def connection_lost(self, _exc: Exception | None) -> None:
         """Report the loss of the connection."""
         self._client.connection_failed(self, CallFailure.CONNECTION_LOST)
+        self._parser.close()
 
     def _report_response(self) -> None:
         response = self._parser.take_response()
--- a/workspond/downstream/client_connection.py
+++ b/workspond/downstream/client_connection.py
@@ -93,7 +93,7 @@
     def connection_lost(self, _exc: Exception | None) -> None:
         """Stop tracking the connection and abandon its active request."""
         self._is_input_ended = True
-        self._pipeline.clear()
+        self._pipeline.close()
         self._owner.connection_closed(self)
         self._abandon_active_request(AbandonReason.CLIENT_DISCONNECTED)
 
--- a/workspond/downstream/request_pipeline.py
+++ b/workspond/downstream/request_pipeline.py
@@ -134,6 +134,11 @@
         self.messages.clear()
         self.unparsed = b""
 
+    def close(self) -> None:
+        """Drop all data, and the parser with it; nothing may be received any more."""
+        self.clear()
+        self._parser.close()
+
 
 def size_bytes(message: ParsedMessage) -> int:
     """Return the length of what a message keeps in memory, without what is short in any message."""
--- a/workspond/http/request_parser.py
+++ b/workspond/http/request_parser.py
@@ -62,7 +62,7 @@
         # The body of the incomplete message, empty between messages. A bytes object for each chunk would take
         # many times the memory of a short chunk.
         self._body = bytearray()
-        self._messages: list[ParsedMessage] = []  # holds the messages that the last `feed` completed
+        self._messages: list[ParsedMessage] = []  # holds the messages that the current `feed` completes
         self.has_partial_message = False
         self.is_finished = False
         self.reported_parts = 0
@@ -87,10 +87,9 @@
         Returns:
             The messages that this data completes.
         """
-        self._messages = []
         self._received_at_ms = received_at_ms
         if self.is_finished:
-            return self._messages
+            return []
         self._has_completed_message = False
         self.reported_parts = 0
         try:
@@ -100,7 +99,9 @@
         except httptools.HttpParserError:
             self._reject(400, "malformed HTTP")
         self._check_unreported(len(data))
-        return self._messages
+        messages = self._messages
+        self._messages = []
+        return messages
 
     def partial_body_bytes(self) -> int:
         """Return the length of the body of the incomplete message."""
@@ -110,6 +111,16 @@
         """Drop the body of a message, because it is complete and passed on, or will not be."""
         self._body.clear()
 
+    def close(self) -> None:
+        """Release all memory; nothing may be fed any more.
+
+        The parser of httptools and this object refer to each other, so that both would otherwise stay until a
+        garbage collection.
+        """
+        self.is_finished = True
+        self.discard_body()
+        del self._parser
+
     def _check_unreported(self, fed_bytes: int) -> None:
         """Check the size of an incomplete head or trailer.
 
--- a/workspond/http/response_parser.py
+++ b/workspond/http/response_parser.py
@@ -82,6 +82,7 @@
         "_in_body",
         "_is_complete",
         "_ignores_rest",
+        "_is_closed",
         "_failure",
         "can_keep_alive",
     )
@@ -95,6 +96,7 @@
     def start(self) -> None:
         """Start a new response and discard the state of the previous one."""
         self._parser = httptools.HttpResponseParser(self)
+        self._is_closed = False
         self._unreported_bytes = 0  # counts the bytes fed of an incomplete head, or of an incomplete trailer
         self._has_reported_part = False  # True if the last feed completed a header or held a part of the body
         self._message_bytes = 0
@@ -148,6 +150,17 @@
         self._body.clear()
         return ParsedResponse(status, self._headers, body)
 
+    def close(self) -> None:
+        """Release all memory; nothing may be fed before the next `start`.
+
+        The parser of httptools and this object refer to each other, so that both would otherwise stay until a
+        garbage collection.
+        """
+        if not self._is_closed:
+            self._is_closed = True
+            self._body.clear()
+            del self._parser
+
     def _parse(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
--- a/workspond/upstream/connection.py
+++ b/workspond/upstream/connection.py
@@ -118,6 +118,7 @@
         if self._attempt is not None:
             outcome = Outcome.RESET if self._attempt.is_written else Outcome.CONNECT_FAILED
             self._end_attempt(outcome, can_reuse=False)
+        self._parser.close()
 
     # Called by the pool
 
@@ -127,6 +128,8 @@
         self._attempt = None
         if self._is_open:
             self._transport.abort()
+        else:
+            self._parser.close()
 
     def is_usable(self) -> bool:
         """Return whether a request may be written: the connection is open and nothing is unread.
