Count all memory that a client connection's queue takes, not targets and bodies alone

What callers saw: nodes killed for memory at 64 and 128 MB while 13 and 26 MB were counted. Cause: the budget counted targets and bodies of complete requests and the body of an incomplete one. Names of tenants (a text may take four bytes a character), content types, the head of an incomplete request, the header that httptools holds until it is complete, and the objects themselves were not counted. Change: requests and responses tell their size, the parser counts what it keeps of an incomplete message.

--- a/workspond/downstream/client_connection.py
+++ b/workspond/downstream/client_connection.py
@@ -14,7 +14,7 @@
 from workspond.downstream.close_reason import AbandonReason, CloseReason, rejected_with
 from workspond.downstream.connection_states import ConnectionState
 from workspond.downstream.interfaces import AcceptedRequest, ConnectionOwner
-from workspond.downstream.request_pipeline import RequestPipeline, size_bytes
+from workspond.downstream.request_pipeline import RequestPipeline
 from workspond.http.request import ClientRequest, InvalidRequestError
 from workspond.http.request_parser import ConnectionRejection, RequestParser
 from workspond.http.response import Response, render
@@ -170,7 +170,7 @@
             pipeline.defer()
         pipeline.parse()
         while pipeline.messages and not self._awaits_response and not self._is_output_blocked():
-            message = pipeline.messages.popleft()
+            message = pipeline.take_message()
             if isinstance(message, ClientRequest):
                 self._accept(message)
             elif isinstance(message, ConnectionRejection):
@@ -206,7 +206,7 @@
         self._has_accepted_request = True
         if self._awaits_response:  # False if the response was sent during `accept`
             self._active_request = active_request
-            served_bytes = size_bytes(request)
+            served_bytes = request.memory_bytes()
             self._served_bytes = served_bytes if served_bytes >= MIN_COUNTED_BYTES else 0
 
     def send_response(self, response: Response) -> None:
--- a/workspond/downstream/request_pipeline.py
+++ b/workspond/downstream/request_pipeline.py
@@ -17,7 +17,7 @@
 from workspond.socket_state import last_data_age_ms
 
 MAX_QUEUED_MESSAGES = 8
-MAX_QUEUED_BYTES = 16 * 1024  # of targets and bodies; the last message queued may go beyond it
+MAX_QUEUED_BYTES = 16 * 1024  # those of the data that is parsed last may go beyond it
 # The next data is only parsed in the next iteration of the event loop once so many parts were reported.
 MAX_PARTS_PER_ITERATION = 512
 # Data is parsed in chunks, as all messages that a chunk completes are queued, even those over the limit.
@@ -41,6 +41,7 @@
     __slots__ = (
         "_parsed_parts",
         "_parser",
+        "_queued_bytes",
         "_unparsed_received_at_ms",
         "has_partial_message",
         "is_deferred",
@@ -51,6 +52,7 @@
 
     def __init__(self, parser: RequestParser) -> None:
         self._parser = parser
+        self._queued_bytes = 0
         self._parsed_parts = 0  # since the last read, or since parsing was deferred
         self._unparsed_received_at_ms = 0.0
         self.is_deferred = False
@@ -77,7 +79,8 @@
         while self.unparsed and not (self.is_full() or self.is_finished or self.is_deferred):
             chunk = self.unparsed[:PARSE_CHUNK_BYTES]
             self.unparsed = self.unparsed[PARSE_CHUNK_BYTES:]
-            self.messages.extend(self._parser.feed(chunk, self._unparsed_received_at_ms))
+            for message in self._parser.feed(chunk, self._unparsed_received_at_ms):
+                self._queue(message)
             self.has_partial_message = self._parser.has_partial_message
             self.is_finished = self._parser.is_finished
             self._parsed_parts += self._parser.reported_parts
@@ -85,6 +88,16 @@
         if self.is_finished:
             self.unparsed = b""
 
+    def _queue(self, message: ParsedMessage) -> None:
+        self.messages.append(message)
+        self._queued_bytes += message.memory_bytes()
+
+    def take_message(self) -> ParsedMessage:
+        """Remove the first message from the queue, which must not be empty, and return it."""
+        message = self.messages.popleft()
+        self._queued_bytes -= message.memory_bytes()
+        return message
+
     def defer(self) -> None:
         """Parse nothing more in this iteration of the event loop."""
         self.is_deferred = bool(self.unparsed)
@@ -100,14 +113,11 @@
 
     def is_full(self) -> bool:
         """Return whether no more messages are parsed until one is taken from the queue."""
-        return len(self.messages) >= MAX_QUEUED_MESSAGES or self._queued_bytes() >= MAX_QUEUED_BYTES
+        return len(self.messages) >= MAX_QUEUED_MESSAGES or self._queued_bytes >= MAX_QUEUED_BYTES
 
     def waiting_bytes(self) -> int:
         """Return the length of all data that the pipeline keeps."""
-        return len(self.unparsed) + self._queued_bytes() + self._parser.partial_body_bytes()
-
-    def _queued_bytes(self) -> int:
-        return sum(map(size_bytes, self.messages))
+        return len(self.unparsed) + self._queued_bytes + self._parser.partial_bytes()
 
     def has_more(self) -> bool:
         """Return whether another message has been received, at least in part."""
@@ -120,26 +130,24 @@
     def reject(self, response: Response) -> None:
         """Stop parsing, and queue an error that ends the connection."""
         self.is_finished = True
-        self.messages.append(ConnectionRejection(response))
+        self._queue(ConnectionRejection(response))
 
     def replace_requests_with(self, response: Response) -> None:
         """Replace each queued request by a response; queued responses and rejections stay."""
-        self.messages = deque(
-            response if isinstance(message, ClientRequest) else message for message in self.messages
-        )
+        messages = self.messages
+        self.messages = deque()
+        self._queued_bytes = 0
+        for message in messages:
+            self._queue(response if isinstance(message, ClientRequest) else message)
 
     def clear(self) -> None:
         """Drop all data."""
-        self._parser.discard_body()
+        self._parser.discard_message()
         self.messages.clear()
+        self._queued_bytes = 0
         self.unparsed = b""
 
     def close(self) -> None:
         """Drop all data, and the parser with it; nothing may be received any more."""
         self.clear()
         self._parser.close()
-
-
-def size_bytes(message: ParsedMessage) -> int:
-    """Return the length of what a message keeps in memory, without what is short in any message."""
-    return len(message.target) + len(message.body) if isinstance(message, ClientRequest) else 0
--- a/workspond/http/request.py
+++ b/workspond/http/request.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import sys
 from dataclasses import dataclass
 
+OBJECT_BYTES = 512  # of a request and its values, without what can be long
+
 
 @dataclass(slots=True)
 class ClientRequest:
@@ -39,6 +42,16 @@
     body: bytes
     received_at_ms: float
 
+    def memory_bytes(self) -> int:
+        """Return how much memory the request takes."""
+        return (
+            OBJECT_BYTES
+            + len(self.target)
+            + len(self.body)
+            + len(self.content_type or b"")
+            + sys.getsizeof(self.tenant)  # a text may take up to four bytes a character
+        )
+
 
 class InvalidRequestError(Exception):
     """Raised for a request that can't be accepted; the text is the body of the error response."""
--- a/workspond/http/request_parser.py
+++ b/workspond/http/request_parser.py
@@ -27,6 +27,10 @@
 
     response: Response
 
+    def memory_bytes(self) -> int:
+        """Return how much memory the rejection takes."""
+        return self.response.memory_bytes()
+
 
 # A request to serve, a response to write, or an error response that ends the connection.
 ParsedMessage = ClientRequest | Response | ConnectionRejection
@@ -73,6 +77,8 @@
     def _start_message(self) -> None:
         self._target = b""
         self._headers: dict[bytes, bytes] = {}
+        self._kept_header_bytes = 0
+        self._unreported_header_bytes = 0
         self._unreported_bytes = 0  # counts the bytes fed of an incomplete head, or of an incomplete trailer
         self._section_bytes = 0  # counts the parsed bytes of the headers, and then those of the body
         self._is_head_complete = False
@@ -99,18 +105,28 @@
         except httptools.HttpParserError:
             self._reject(400, "malformed HTTP")
         self._check_unreported(len(data))
+        self._count_unreported_header(len(data))
         messages = self._messages
         self._messages = []
         return messages
 
-    def partial_body_bytes(self) -> int:
-        """Return the length of the body of the incomplete message."""
-        return len(self._body)
+    def partial_bytes(self) -> int:
+        """Return the length of what is kept of the incomplete message."""
+        kept_bytes = len(self._target) + self._kept_header_bytes + len(self._body)
+        return kept_bytes + self._unreported_header_bytes
 
     def discard_body(self) -> None:
         """Drop the body of a message, because it is complete and passed on, or will not be."""
         self._body.clear()
 
+    def discard_message(self) -> None:
+        """Drop all that is kept of a message, because it will not be completed."""
+        self.discard_body()
+        self._target = b""
+        self._headers = {}
+        self._kept_header_bytes = 0
+        self._unreported_header_bytes = 0
+
     def close(self) -> None:
         """Release all memory; nothing may be fed any more.
 
@@ -118,7 +134,7 @@
         garbage collection.
         """
         self.is_finished = True
-        self.discard_body()
+        self.discard_message()
         del self._parser
 
     def _check_unreported(self, fed_bytes: int) -> None:
@@ -135,6 +151,16 @@
         if self._unreported_bytes > MAX_HEAD_BYTES:
             self._reject(431, "headers too large")
 
+    def _count_unreported_header(self, fed_bytes: int) -> None:
+        """Count the bytes of the header or trailer that httptools keeps until it is complete."""
+        is_in_body = self._is_head_complete and self.reported_parts
+        if not self.has_partial_message or is_in_body:
+            self._unreported_header_bytes = 0
+        elif self._has_completed_message or self.reported_parts:
+            self._unreported_header_bytes = fed_bytes
+        else:
+            self._unreported_header_bytes += fed_bytes
+
     def _reject(self, status: int, reason: str) -> None:
         """Queue an error response and stop parsing; does nothing if parsing has ended already."""
         if not self.is_finished:
@@ -166,6 +192,7 @@
             self._reject(400, "a header came twice")
         else:
             self._headers[name] = value.strip()
+            self._kept_header_bytes += len(value)
 
     def on_headers_complete(self) -> None:
         """Check the length of the target, the framing and the announced body length."""
@@ -203,7 +230,7 @@
             self._reject(400, str(error))
         else:
             self.is_finished = not self._parser.should_keep_alive()
-        self.discard_body()
+        self.discard_message()
 
     def _complete_message(self) -> ClientRequest | Response:
         """Return the validated request, or the response to a request for one of the node's own paths."""
--- a/workspond/http/response.py
+++ b/workspond/http/response.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
+OBJECT_BYTES = 128  # of a response, without its body
+
 
 @dataclass(slots=True)
 class Response:
@@ -22,6 +24,10 @@
     content_type: bytes | None = None
     retry_after_s: float | None = None
 
+    def memory_bytes(self) -> int:
+        """Return how much memory the response takes."""
+        return OBJECT_BYTES + len(self.body)
+
 
 def render(response: Response, *, close: bool) -> bytes:
     """Render a response as one bytes object, so that a single write can send it.
