Keep bodies in segments of one size, so that the memory of one fits any other

What callers saw: nodes killed for memory while far less was counted. Cause: each body was one block that is moved as it grows. With hundreds of bodies that grow by turns, the blocks left behind were too small for the next size of any of them.

--- a/workspond/http/request_parser.py
+++ b/workspond/http/request_parser.py
@@ -16,6 +16,7 @@
 from workspond.http.request import ClientRequest, InvalidRequestError
 from workspond.http.request_validator import USED_HEADERS, check_framing, validate_request
 from workspond.http.response import Response
+from workspond.http.segmented_buffer import SegmentedBuffer
 from workspond.policy.settings import RequestClass
 
 INTERNAL_PATH_PREFIX = b"/-/"  # requests for these paths are answered by the node and not forwarded
@@ -63,9 +64,7 @@
         self._classes = classes
         self._internal_path_response = internal_path_response
         self._parser = httptools.HttpRequestParser(self)
-        # The body of the incomplete message, empty between messages. A bytes object for each chunk would take
-        # many times the memory of a short chunk.
-        self._body = bytearray()
+        self._body = SegmentedBuffer()  # of the incomplete message, empty between messages
         self._messages: list[ParsedMessage] = []  # holds the messages that the current `feed` completes
         self.has_partial_message = False
         self.is_finished = False
@@ -216,7 +215,7 @@
         if self._section_bytes > MAX_BODY_BYTES:
             self._reject(413, "body over 64 KiB")
         elif not self.is_finished:
-            self._body += body
+            self._body.append(body)
 
     def on_message_complete(self) -> None:
         """Add the completed message to the result of `feed`."""
@@ -242,6 +241,6 @@
             method=self._parser.get_method(),
             target=self._target,
             headers=self._headers,
-            body=bytes(self._body),
+            body=self._body.take(),
             received_at_ms=self._received_at_ms,
         )
--- a/workspond/http/response_parser.py
+++ b/workspond/http/response_parser.py
@@ -12,6 +12,8 @@
 
 import httptools
 
+from workspond.http.segmented_buffer import SegmentedBuffer
+
 # The headers that state where a body ends. Without them the body ends when the connection is closed.
 FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
@@ -89,8 +91,7 @@
 
     def __init__(self, rules: ResponseRules) -> None:
         self._rules = rules
-        # A bytes object for each chunk would take many times the memory of a short chunk.
-        self._body = bytearray()
+        self._body = SegmentedBuffer()
         self.start()
 
     def start(self) -> None:
@@ -146,9 +147,7 @@
         """Return the response, which must be complete, and drop its body, as the connection may stay idle."""
         # If trailing data is parsed, the status is that of the status line parsed last.
         status = self._status if self._ignores_rest else self._parser.get_status_code()
-        body = bytes(self._body)
-        self._body.clear()
-        return ParsedResponse(status, self._headers, body)
+        return ParsedResponse(status, self._headers, self._body.take())
 
     def close(self) -> None:
         """Release all memory; nothing may be fed before the next `start`.
@@ -214,7 +213,7 @@
         self._has_reported_part = True
         if self._ignores_rest:
             return
-        self._body += body
+        self._body.append(body)
         if len(self._body) > self._rules.max_body_bytes:
             self._failure = ParseState.TOO_LARGE
             self._body.clear()
