Read little from each connection while the budget for client data is exceeded

What callers saw: nodes killed for memory. Cause: data is dropped in the next iteration of the event loop; until then each readable connection read up to 16 KiB more, 8.8 MB with 540 connections, more than the whole budget of a node with 32 MB. Change: while the budget is exceeded a read takes 512 bytes. The kernel holds the rest back.

--- a/tests/test_buffer_budget.py
+++ b/tests/test_buffer_budget.py
@@ -4,10 +4,14 @@
 
 import asyncio
 from pathlib import Path
+from typing import Any
+
+import pytest
 
 from tests.client_helpers import ready_node
 from tests.peers import HANG, Client, Server, node_environment, request, run, until
 from workspond.downstream.buffer_budget import BufferBudget, BufferUse
+from workspond.downstream.client_connection import MAX_READ_BYTES, MAX_READ_BYTES_WHILE_SHORT
 from workspond.memory_limits import max_client_buffer_bytes
 
 MEMORY_MB = 4
@@ -15,6 +19,7 @@
 UNFINISHED_REQUEST = request("q", "pay", body=b"x" * BODY_BYTES)[:-1]
 FITTING_COUNT = max_client_buffer_bytes(MEMORY_MB) // BODY_BYTES
 EXCESS_COUNT = 5
+MANY_CLIENTS = 100
 
 
 class BufferingClient:
@@ -101,6 +106,31 @@
     run(test())
 
 
+def test_little_is_read_while_the_budget_is_exceeded(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a node that is killed for what all connections read in one turn of the event loop."""
+    highest_bytes = 0
+    update = BufferBudget.update
+
+    def update_and_record(budget: BufferBudget[Any], connection: Any, use: BufferUse) -> None:
+        nonlocal highest_bytes
+        update(budget, connection, use)
+        highest_bytes = max(highest_bytes, budget.total_bytes)
+
+    monkeypatch.setattr(BufferBudget, "update", update_and_record)
+
+    async def test() -> None:
+        async with node_environment(tmp_path, Server(), memory_mb=MEMORY_MB) as environment:
+            await ready_node(environment)
+            clients = [await environment.client() for _ in range(MANY_CLIENTS)]
+            for client in clients:
+                client.write(UNFINISHED_REQUEST)
+            await rejected_count(clients)
+            allowed_bytes = MAX_READ_BYTES + MANY_CLIENTS * MAX_READ_BYTES_WHILE_SHORT
+            assert highest_bytes <= max_client_buffer_bytes(MEMORY_MB) + allowed_bytes
+
+    run(test())
+
+
 def test_the_use_of_closed_connections_is_given_back(tmp_path: Path) -> None:
     async def test() -> None:
         async with node_environment(tmp_path, Server(default=HANG)) as environment:
--- a/workspond/downstream/client_connection.py
+++ b/workspond/downstream/client_connection.py
@@ -23,8 +23,11 @@
 MAX_READ_BYTES = 16 * 1024  # what is read at once may have to wait in memory until the queue has room
 # A shorter request that is being served is not counted, as most are and counting takes time.
 MIN_COUNTED_BYTES = 1024
+# All connections together may read so often before data is dropped that each read has to be short.
+MAX_READ_BYTES_WHILE_SHORT = 512  # while memory is short
 # Holds what was read last, of any connection, until it is copied at once.
-_read_buffer = bytearray(MAX_READ_BYTES)
+_read_buffer = memoryview(bytearray(MAX_READ_BYTES))
+_short_read_buffer = _read_buffer[:MAX_READ_BYTES_WHILE_SHORT]
 
 
 class ClientConnection(asyncio.BufferedProtocol):
@@ -56,9 +59,9 @@
         self._socket = self._transport.get_extra_info("socket")
         self._owner.connection_opened(self)
 
-    def get_buffer(self, _sizehint: int) -> bytearray:
+    def get_buffer(self, _sizehint: int) -> memoryview:
         """Return the buffer for the next read."""
-        return _read_buffer
+        return _short_read_buffer if self._owner.buffers.is_exceeded else _read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse the data that was read and process the requests that it completes."""
