Size the budget for client data by the memory that the process and its connections leave

What callers saw: nodes killed for memory. Cause: the budget was a fifth of the limit, whatever the process itself takes. At 32 MB the program takes 25.3 MB of resident memory before its first client and 540 connections take 2.4 MB, so that 6.7 MB of data and its copies pass the limit. Change: half of what is left beside 2 MiB for connections to servers, at most a fifth as before, at least 1 MiB. From 64 MB on nothing changes.

--- /dev/null
+++ b/tests/test_memory_division.py
@@ -0,0 +1,21 @@
+"""How the memory of a process is divided between the data of clients and everything else."""
+
+from __future__ import annotations
+
+from workspond.memory_limits import client_buffer_limit_bytes, max_client_buffer_bytes
+
+MB = 1024 * 1024
+
+
+def test_client_data_gets_what_the_process_and_its_connections_leave() -> None:
+    assert client_buffer_limit_bytes(32, 24 * MB, 0) == 3 * MB
+    assert client_buffer_limit_bytes(32, 24 * MB, 400) == 3 * MB - 1000 * 1024
+
+
+def test_client_data_gets_at_most_its_fraction_of_the_memory_limit() -> None:
+    assert client_buffer_limit_bytes(128, 26 * MB, 500) == max_client_buffer_bytes(128)
+    assert client_buffer_limit_bytes(64, 0, 0) == max_client_buffer_bytes(64)
+
+
+def test_client_data_gets_a_minimum_even_if_the_process_is_over_its_limit() -> None:
+    assert client_buffer_limit_bytes(32, 40 * MB, 500) == 1 * MB
