Release what is long in a request when it ends, though its attempt is still in flight

Evidence: the new test in tests/test_released_memory.py failed before: the body of 60,000 bytes stays while the server hangs. Change: the registry releases target, body, tenant and content type when a request ends; ids and class stay for the log.

--- a/tests/test_released_memory.py
+++ b/tests/test_released_memory.py
@@ -10,7 +10,7 @@
 import pytest
 
 from tests.client_helpers import INCOMPLETE_REQUESTS, ready_node
-from tests.peers import RESET, Server, node_environment, request, run, until
+from tests.peers import HANG, RESET, Server, node_environment, request, run, until
 from workspond.downstream.client_connection import ClientConnection
 from workspond.http.request import ClientRequest
 from workspond.http.request_parser import RequestParser
@@ -49,6 +49,23 @@
     run(test())
 
 
+def test_an_abandoned_request_is_released_while_its_attempt_is_in_flight(tmp_path: Path) -> None:
+    """Guards against requests of clients that have gone, which hanging servers would keep in memory."""
+
+    async def test() -> None:
+        async with node_environment(tmp_path, Server(default=HANG)) as environment:
+            node = await ready_node(environment)
+            client = await environment.client()
+            client.write(request("a", "pay", body=b"x" * BODY_BYTES))
+            await until(lambda: node.resource_usage().attempts == 1)
+            [message] = (each for each in gc.get_objects() if isinstance(each, ClientRequest))
+            client.writer.close()
+            await until(lambda: not node.resource_usage().requests)
+            assert node.resource_usage().attempts == 1 and not message.body
+
+    run(test())
+
+
 @pytest.mark.parametrize("data", [*INCOMPLETE_REQUESTS.values(), b"noise\r\n\r\n", request("a", "pay")])
 def test_a_closed_connection_is_released(data: bytes, tmp_path: Path) -> None:
     """Guards against memory that grows while clients come and go faster than garbage is collected."""
--- a/workspond/http/request.py
+++ b/workspond/http/request.py
@@ -42,6 +42,13 @@
     body: bytes
     received_at_ms: float
 
+    def release(self) -> None:
+        """Drop what may be long, because the request will not be sent to a server any more."""
+        self.target = b""
+        self.tenant = None
+        self.content_type = None
+        self.body = b""
+
     def memory_bytes(self) -> int:
         """Return how much memory the request takes."""
         return (
--- a/workspond/request_registry.py
+++ b/workspond/request_registry.py
@@ -120,6 +120,7 @@
         if self.active.pop(request.key, None) is None:
             return False
         self.open_request_ids.discard(request.message.request_id)
+        request.message.release()  # an attempt in flight may outlast the request for long
         if request.deadline_timer is not None:
             request.deadline_timer.cancel()
         return True
