Limit client connections by memory too, where it is short for its descriptors

What callers saw: nodes killed for memory. Cause: 55% of the descriptors may be connections of clients, whatever the memory limit. Change: as many connections as fit beside the least budget for data, but not under the third of the descriptors that clients with requests may hold; the budget counts the same size for each.

--- a/workspond/descriptor_limits.py
+++ b/workspond/descriptor_limits.py
@@ -10,6 +10,8 @@
 # Connections of clients may use this fraction of the limit. The rest is for connections to servers: idle
 # ones, and one per attempt in flight while about as many clients as a third of the limit have a request.
 CLIENT_CONNECTION_FRACTION = 0.55
+# Clients that send requests may hold this fraction of the limit, however short memory is.
+MIN_CLIENT_CONNECTION_FRACTION = 1.0 / 3.0
 
 
 def effective_descriptor_limit(configured: int) -> int:
@@ -20,9 +22,16 @@
     return min(configured, system_limit)
 
 
-def max_client_connections(descriptor_limit: int) -> int:
-    """Return how many connections of clients may be open under a limit on descriptors."""
-    return int(CLIENT_CONNECTION_FRACTION * descriptor_limit)
+def max_client_connections(descriptor_limit: int, fitting_connections: int) -> int:
+    """Return how many connections of clients may be open.
+
+    Args:
+        descriptor_limit: The limit on descriptors.
+        fitting_connections: How many connections fit into memory.
+    """
+    minimum = int(MIN_CLIENT_CONNECTION_FRACTION * descriptor_limit)
+    maximum = int(CLIENT_CONNECTION_FRACTION * descriptor_limit)
+    return min(maximum, max(minimum, fitting_connections))
 
 
 def available_descriptors(descriptor_limit: int, client_connections: int, server_connections: int) -> int:
--- a/workspond/node.py
+++ b/workspond/node.py
@@ -22,7 +22,7 @@
 from workspond.graceful_shutdown import MIN_SERVING_S, GracefulShutdown
 from workspond.http.request import ClientRequest
 from workspond.http.response import Response
-from workspond.memory_limits import client_buffer_limit_bytes
+from workspond.memory_limits import client_buffer_limit_bytes, fitting_client_connections
 from workspond.observability.counters import CountedEvent, EventCounters
 from workspond.observability.request_trace import RequestTracer
 from workspond.observability.resource_usage import ResourceUsage, resident_bytes, start_usage_report
@@ -85,14 +85,15 @@
         )
         self._discovery = EndpointWatcher(loop, config.discovery, self)
         self._first_discovery_call_ended = False
-        max_connections = max_client_connections(self._descriptor_limit)
+        used_bytes = resident_bytes()
+        max_connections = max_client_connections(
+            self._descriptor_limit, fitting_client_connections(config.max_memory_mb, used_bytes)
+        )
         self.frontend = Frontend(
             self._balancer.classes,
             self,
             max_connections=max_connections,
-            max_buffer_bytes=client_buffer_limit_bytes(
-                config.max_memory_mb, resident_bytes(), max_connections
-            ),
+            max_buffer_bytes=client_buffer_limit_bytes(config.max_memory_mb, used_bytes, max_connections),
             counters=self.counters,
         )
         self._shutdown = GracefulShutdown(self.frontend, self._requests, settings.classes)
