Process one message of a connection at a time, and the rest in turns of 2 ms in all

What callers saw: answers late or never while one client sent small requests at full speed. Cause: a connection had its turn until its data of up to 16 KiB was used up. 900 requests for the node's own paths, or 180 that end at once, took 30 ms and more, between any two steps of the requests of others. With hundreds of such clients one iteration of the event loop took 1.5 s (the log's own line). Change: a connection processes one message at once. If it has more, or a response lets the next one begin, it waits for its turn behind the others (TurnScheduler), and all turns of one iteration take 2 ms. Heads are parsed in chunks of 512 bytes, so that a chunk completes few messages. A rejection drops an incomplete message at once, as it may have to wait for its turn. The test of a request that is partly parsed when the node drains gives one turn in each iteration, as it would otherwise seldom see that state; its checks are the same.

--- a/tests/test_counted_memory.py
+++ b/tests/test_counted_memory.py
@@ -69,3 +69,12 @@
         tracemalloc.stop()
     counted_bytes = sum(pipeline.waiting_bytes() for pipeline in pipelines)
     assert taken_bytes <= 1.15 * counted_bytes + CONNECTION_COUNT * CONNECTION_BYTES
+
+
+def test_a_rejection_drops_an_incomplete_message_at_once(connection: socket.socket) -> None:
+    """Guards against a node that drops far more than it has to, as rejections wait for their turn."""
+    pipeline = new_pipeline()
+    feed(pipeline, INPUTS["body"], connection)
+    rejection = Response(413, b"memory is short")
+    pipeline.reject(rejection)
+    assert pipeline.waiting_bytes() == rejection.memory_bytes()
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -10,6 +10,7 @@
 
 from tests.client_helpers import open_connection_count, open_request_count, ready_node, running_node
 from tests.peers import Server, node_environment, render_response, request, run, until
+from workspond.downstream import turn_scheduler
 
 PIPELINED_COUNT = 20  # more requests than the node queues
 
@@ -60,14 +61,18 @@
     run(test())
 
 
-def test_a_request_that_is_partly_parsed_when_the_node_drains_is_answered(tmp_path: Path) -> None:
+def test_a_request_that_is_partly_parsed_when_the_node_drains_is_answered(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(turn_scheduler, "MAX_TURNS_S", 0.0)  # one turn in each iteration of the event loop
+
     async def test() -> None:
         async with node_environment(tmp_path, Server()) as environment:
             frontend = (await ready_node(environment)).frontend
             client = await environment.client()
             client.write(SMALL_CHUNKS_REQUEST)
             connections = frontend.connections
-            await until(lambda: any(each._is_parsing_scheduled for each in connections.all()))
+            await until(lambda: any(each._is_turn_scheduled for each in connections.all()))
             await frontend.drain()
             assert (await client.read()).status == 200
 
--- a/workspond/downstream/client_connection.py
+++ b/workspond/downstream/client_connection.py
@@ -16,7 +16,7 @@
 from workspond.downstream.interfaces import AcceptedRequest, ConnectionOwner
 from workspond.downstream.request_pipeline import RequestPipeline
 from workspond.http.request import ClientRequest, InvalidRequestError
-from workspond.http.request_parser import ConnectionRejection, RequestParser
+from workspond.http.request_parser import ConnectionRejection, ParsedMessage, RequestParser
 from workspond.http.response import Response, render
 from workspond.socket_state import has_peer_closed, is_readable
 
@@ -48,7 +48,8 @@
         self._is_reading_paused = False
         self._served_bytes = 0  # the length of the active request, or 0 if it is short
         self._buffer_use = NO_USE  # as last recorded by the owner
-        self._is_parsing_scheduled = False  # True while a callback will continue deferred parsing
+        self._is_turn_scheduled = False  # True while the connection waits for its turn to go on
+        self._is_processing = False  # True while a message is processed, which may end in a response at once
 
     # Callbacks of the transport
 
@@ -133,7 +134,7 @@
 
     def has_unread_data(self) -> bool:
         """Return whether data or an EOF has been received that the event loop will still process."""
-        if self._is_parsing_scheduled:
+        if self._is_turn_scheduled:
             return True
         is_reading = not (self._is_reading_paused or self._is_input_ended or self._transport.is_closing())
         return is_reading and is_readable(self._socket)
@@ -167,35 +168,56 @@
     # Requests and responses
 
     def _process_messages(self) -> None:
-        """Process queued messages until one awaits a response; then pause or resume reading."""
+        """Process the next message, unless the connection waits for its turn or for a response.
+
+        Messages behind it have to wait for their turn. Reading is paused or resumed afterwards.
+        """
+        if self._is_processing:
+            return
+        if not self._is_turn_scheduled:
+            self._process_next_message()
+        self._await_turn()
+
+    def _await_turn(self) -> None:
+        """Schedule a turn if there is anything more to process, and pause or resume reading."""
+        if not self._is_turn_scheduled and (self._pipeline.is_deferred or self._can_process_message()):
+            self._is_turn_scheduled = True
+            self._owner.turns.schedule(self)
+        self._update_reading()
+
+    def _process_next_message(self) -> None:
         pipeline = self._pipeline
         if self._owner.buffers.is_exceeded:
             pipeline.defer()
         pipeline.parse()
-        while pipeline.messages and not self._awaits_response and not self._is_output_blocked():
-            message = pipeline.take_message()
-            if isinstance(message, ClientRequest):
-                self._accept(message)
-            elif isinstance(message, ConnectionRejection):
-                self._reject(message)
-            else:
-                self._write(message)
-            pipeline.parse()
-        if pipeline.is_deferred and not self._is_parsing_scheduled:
-            self._is_parsing_scheduled = True
-            asyncio.get_running_loop().call_soon(self._continue_parsing)
-        self._update_reading()
+        if not self._can_process_message():
+            return
+        self._is_processing = True
+        try:
+            self._process(pipeline.take_message())
+        finally:
+            self._is_processing = False
+        pipeline.parse()
 
-    def _continue_parsing(self) -> None:
-        """Continue the parsing that was deferred to this iteration of the event loop."""
-        self._is_parsing_scheduled = False
+    def _process(self, message: ParsedMessage) -> None:
+        if isinstance(message, ClientRequest):
+            self._accept(message)
+        elif isinstance(message, ConnectionRejection):
+            self._reject(message)
+        else:
+            self._write(message)
+
+    def take_turn(self) -> None:
+        """Continue with the data and messages that had to wait."""
+        self._is_turn_scheduled = False
         if not self._is_input_ended and not self._transport.is_closing():
             self._pipeline.end_deferral()
             self._process_messages()
             self._update_state()
 
-    def _is_output_blocked(self) -> bool:
-        return self._is_writing_paused or self._transport.is_closing()
+    def _can_process_message(self) -> bool:
+        is_output_blocked = self._is_writing_paused or self._transport.is_closing()
+        return bool(self._pipeline.messages) and not self._awaits_response and not is_output_blocked
 
     def _accept(self, request: ClientRequest) -> None:
         """Pass a request to the node, and answer one that the node can't accept with an error."""
@@ -213,13 +235,14 @@
             self._served_bytes = served_bytes if served_bytes >= MIN_COUNTED_BYTES else 0
 
     def send_response(self, response: Response) -> None:
-        """Write the response to the active request and continue with the next message."""
+        """Write the response to the active request; messages behind it have to wait for their turn."""
         self._active_request = None
         self._awaits_response = False
         self._served_bytes = 0
         if not self._transport.is_closing():
             self._write(response)
-            self._process_messages()
+            if not self._is_processing:
+                self._await_turn()
             self._update_state()
 
     def _write(self, response: Response) -> None:
--- a/workspond/downstream/frontend.py
+++ b/workspond/downstream/frontend.py
@@ -13,6 +13,7 @@
 from workspond.downstream.connection_states import ConnectionState, ConnectionTable
 from workspond.downstream.interfaces import AcceptedRequest, ResponseReceiver
 from workspond.downstream.listener import Listener
+from workspond.downstream.turn_scheduler import TurnScheduler
 from workspond.http.request import ClientRequest
 from workspond.http.response import Response
 from workspond.observability.connection_trace import ConnectionTracer
@@ -63,6 +64,8 @@
         self.tracer = ConnectionTracer(counters)
         self.connections: ConnectionTable[ClientConnection] = ConnectionTable()
         self.buffers: BufferBudget[ClientConnection] = BufferBudget(max_buffer_bytes)
+        # While memory is short, data is dropped before anything more is parsed.
+        self.turns = TurnScheduler(lambda: self.buffers.is_exceeded)
         self._handler = handler
         self._max_connections = max_connections
         self._listener: Listener | None = None
--- a/workspond/downstream/interfaces.py
+++ b/workspond/downstream/interfaces.py
@@ -6,6 +6,7 @@
 
 from workspond.downstream.buffer_budget import BufferBudget, BufferingConnection
 from workspond.downstream.connection_states import ConnectionState
+from workspond.downstream.turn_scheduler import TurnScheduler
 from workspond.http.request import ClientRequest
 from workspond.http.response import Response
 from workspond.observability.connection_trace import ConnectionTracer
@@ -37,6 +38,7 @@
     classes: dict[str, RequestClass]
     tracer: ConnectionTracer
     buffers: BufferBudget[Connection]
+    turns: TurnScheduler
 
     def accept(self, request: ClientRequest, receiver: ResponseReceiver) -> AcceptedRequest:
         """Pass a request to the node.
--- a/workspond/downstream/request_pipeline.py
+++ b/workspond/downstream/request_pipeline.py
@@ -21,7 +21,9 @@
 # The next data is only parsed in the next iteration of the event loop once so many parts were reported.
 MAX_PARTS_PER_ITERATION = 512
 # Data is parsed in chunks, as all messages that a chunk completes are queued, even those over the limit.
-PARSE_CHUNK_BYTES = 4096
+# Heads take far more time than bodies.
+HEAD_CHUNK_BYTES = 512
+BODY_CHUNK_BYTES = 4096
 
 
 class RequestPipeline:
@@ -77,8 +79,9 @@
         wait for it.
         """
         while self.unparsed and not (self.is_full() or self.is_finished or self.is_deferred):
-            chunk = self.unparsed[:PARSE_CHUNK_BYTES]
-            self.unparsed = self.unparsed[PARSE_CHUNK_BYTES:]
+            chunk_bytes = BODY_CHUNK_BYTES if self._parser.is_in_body() else HEAD_CHUNK_BYTES
+            chunk = self.unparsed[:chunk_bytes]
+            self.unparsed = self.unparsed[chunk_bytes:]
             for message in self._parser.feed(chunk, self._unparsed_received_at_ms):
                 self._queue(message)
             self.has_partial_message = self._parser.has_partial_message
@@ -128,8 +131,10 @@
         return bool(self.messages) and isinstance(self.messages[-1], ConnectionRejection)
 
     def reject(self, response: Response) -> None:
-        """Stop parsing, and queue an error that ends the connection."""
+        """Stop parsing, drop the incomplete message, and queue an error that ends the connection."""
         self.is_finished = True
+        self.unparsed = b""
+        self._parser.discard_message()
         self._queue(ConnectionRejection(response))
 
     def replace_requests_with(self, response: Response) -> None:
--- a/workspond/http/request_parser.py
+++ b/workspond/http/request_parser.py
@@ -109,6 +109,10 @@
         self._messages = []
         return messages
 
+    def is_in_body(self) -> bool:
+        """Return whether a message has begun whose head is complete."""
+        return self.has_partial_message and self._is_head_complete
+
     def partial_bytes(self) -> int:
         """Return the length of what is kept of the incomplete message."""
         kept_bytes = len(self._target) + self._kept_header_bytes + len(self._body)
@@ -148,7 +152,8 @@
             return
         self._unreported_bytes += fed_bytes
         if self._unreported_bytes > MAX_HEAD_BYTES:
-            self._reject(431, "headers too large")
+            is_target_too_long = len(self._target) > MAX_HEAD_BYTES
+            self._reject(431, "target too long" if is_target_too_long else "headers too large")
 
     def _count_unreported_header(self, fed_bytes: int) -> None:
         """Count the bytes of the header or trailer that httptools keeps until it is complete."""
