Do not repeat an abandoned id while its attempt is in flight or may have run

What servers saw: an id ran twice when it came again after its client had left. Cause: an abandoned request gave its id free at once. Its attempt went on; the same id on a new connection was a new request, of any class, with two attempts at once. One of a class that is not idempotent is answered with 400 while an attempt is in flight or may have run. For an idempotent one the old attempt is cancelled, by closing its connection, before the new one is accepted.

--- a/tests/test_node_abandoned_requests.py
+++ b/tests/test_node_abandoned_requests.py
@@ -6,8 +6,19 @@
 
 import pytest
 
-from tests.peers import Server, node_environment, render_response, request, run, until
+from tests.peers import (
+    HANG,
+    RESET,
+    NodeEnvironment,
+    Server,
+    node_environment,
+    render_response,
+    request,
+    run,
+    until,
+)
 from tests.stalled_listener import StalledListener, has_received_nothing
+from workspond import abandoned_requests
 from workspond.policy import retry_policy
 
 
@@ -92,3 +103,93 @@
             assert [message.request_id for message in server.received] == ["a", "c"]
 
     run(test())
+
+
+async def abandon_in_flight(
+    environment: NodeEnvironment, server: Server, class_name: str, request_id: str = "a"
+) -> None:
+    """Send a request, and leave once its attempt has reached the server."""
+    client = await environment.client()
+    client.write(request(request_id, class_name))
+    await until(lambda: bool(server.received) and server.received[-1].request_id == request_id)
+    client.writer.close()
+    await until(lambda: environment.node is not None and not environment.node._requests.active)
+
+
+def test_the_id_of_an_abandoned_request_is_not_sent_while_its_attempt_is_in_flight(tmp_path: Path) -> None:
+    """Guards against two attempts of one id at the same time."""
+
+    async def test() -> None:
+        server = Server(HANG)
+        async with node_environment(tmp_path, server) as environment:
+            await abandon_in_flight(environment, server, "pay")
+            assert (await environment.send_request("a", "pay")).status == 400
+            assert (await environment.send_request("b", "pay")).status == 200
+            assert [message.request_id for message in server.received] == ["a", "b"]
+
+    run(test())
+
+
+def test_the_attempt_of_an_abandoned_idempotent_request_is_cancelled_if_its_id_comes_again(
+    tmp_path: Path,
+) -> None:
+    """Guards against two attempts of one id at the same time."""
+
+    async def test() -> None:
+        server = Server(HANG)
+        async with node_environment(tmp_path, server) as environment:
+            await abandon_in_flight(environment, server, "read")
+            assert (await environment.send_request("a", "read")).status == 200
+            assert [message.request_id for message in server.received] == ["a", "a"]
+            assert server.closed_connections == 1
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("response", "status"),
+    [
+        (render_response(), 400),
+        (render_response(500), 400),
+        (RESET, 400),
+        (render_response(503, headers="X-Rejected: 1\r\n"), 200),
+    ],
+    ids=["served", "error", "reset", "rejected"],
+)
+def test_the_id_of_a_non_idempotent_request_that_may_have_run_is_not_sent_again(
+    response: bytes, status: int, tmp_path: Path
+) -> None:
+    """Guards against an id that runs twice because its client left and came again."""
+
+    async def test() -> None:
+        server = Server(response)
+        server.may_respond.clear()
+        async with node_environment(tmp_path, server) as environment:
+            await abandon_in_flight(environment, server, "pay")
+            server.may_respond.set()
+            node = environment.node
+            assert node is not None
+            await until(lambda: not node._attempts.in_flight)
+            assert (await environment.send_request("a", "pay")).status == status
+
+    run(test())
+
+
+def test_only_so_many_abandoned_ids_are_remembered(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against memory that grows while clients leave under ever new ids."""
+    monkeypatch.setattr(abandoned_requests, "MAX_REQUESTS", 1)
+
+    async def test() -> None:
+        server = Server(RESET, RESET)
+        server.may_respond.clear()
+        async with node_environment(tmp_path, server) as environment:
+            await abandon_in_flight(environment, server, "pay", "first")
+            await abandon_in_flight(environment, server, "pay", "second")
+            server.may_respond.set()
+            node = environment.node
+            assert node is not None
+            await until(lambda: not node._attempts.in_flight)
+            assert (await environment.send_request("first", "pay")).status == 200
+            assert (await environment.send_request("second", "pay")).status == 400
+
+    run(test())
--- a/workspond/attempt_runner.py
+++ b/workspond/attempt_runner.py
@@ -8,6 +8,7 @@
 from workspond.address import Address
 from workspond.clock import now_ms
 from workspond.endpoint_table import EndpointTable
+from workspond.http.request import ClientRequest
 from workspond.http.response import Response
 from workspond.observability.attempt_record import BlockedAttempt, EndedAttempt
 from workspond.observability.counters import CountedEvent, EventCounters
@@ -136,6 +137,13 @@
         if attempt is not None:
             attempt.abort(Outcome.CANCELLED)
 
+    def cancel_superseded(self, message: ClientRequest) -> None:
+        """Cancel the attempts of the abandoned request that a new one repeats: only one may be in flight."""
+        superseded = self._requests.superseded_by(message)
+        if superseded is not None:
+            for number in range(superseded.attempts_started):
+                self.cancel(superseded.key, number)
+
     def may_send(self, outgoing: OutgoingAttempt) -> bool:
         """Return whether an attempt may still be written, now that its connection is open."""
         refusal = self._check_send(
@@ -151,6 +159,7 @@
         self.in_flight.pop((request.key, outgoing.number), None)
         if outgoing.is_written:
             request.history.record_end(may_have_run=self._guard.may_have_run(outcome))
+            self._requests.attempt_ended(request)
         self._counters.increment(CountedEvent.ATTEMPT_ENDED, outcome.name)
         duration_ms = now_ms() - outgoing.started_at_ms
         _record_end(outgoing, outcome, duration_ms)
--- a/workspond/node.py
+++ b/workspond/node.py
@@ -70,7 +70,7 @@
         self._balancer = Balancer(settings, config.seed)
         self._policy = PolicyRunner(self._balancer, self)
         self.counters = EventCounters()
-        self._requests = RequestRegistry(loop, self._policy, self.counters, RequestTracer())
+        self._requests = RequestRegistry(loop, self._policy, self.counters, RequestTracer(), settings.classes)
         self._endpoints = EndpointTable()
         self._upstream = ConnectionPool(
             loop, settings.connect_timeout_ms, settings.keepalive_ms, self._available_descriptors
@@ -157,8 +157,10 @@
         """Accept a request, which gets exactly one response unless it is abandoned.
 
         Raises:
-            InvalidRequestError: If a request with the same id is active.
+            InvalidRequestError: If a request with the same id is active, or was abandoned and must not be
+                repeated.
         """
+        self._attempts.cancel_superseded(request)
         return self._requests.accept(request, receiver)
 
     # Methods of EndpointListener
--- a/workspond/request_registry.py
+++ b/workspond/request_registry.py
@@ -8,7 +8,9 @@
 import asyncio
 import logging
 import math
+from collections.abc import Iterable
 
+from workspond.abandoned_requests import AbandonedRequests
 from workspond.active_request import ActiveRequest
 from workspond.clock import now_ms
 from workspond.downstream.close_reason import AbandonReason
@@ -18,6 +20,7 @@
 from workspond.observability.counters import CountedEvent, EventCounters
 from workspond.observability.request_trace import RequestTracer
 from workspond.policy.events import RequestAbandoned, RequestReceived
+from workspond.policy.settings import RequestClass
 from workspond.policy_runner import PolicyRunner
 
 # Attempts can't use this part of a request's budget. It covers the time before the node has read the request
@@ -46,6 +49,7 @@
         policy: PolicyRunner,
         counters: EventCounters,
         tracer: RequestTracer,
+        classes: Iterable[RequestClass],
     ) -> None:
         self._loop = loop
         self._policy = policy
@@ -53,6 +57,7 @@
         self._tracer = tracer
         self.active: dict[str, ActiveRequest] = {}
         self.open_request_ids: set[str] = set()
+        self._abandoned = AbandonedRequests(classes)
         self._last_serial = 0
         self._latest_deadline_at_ms = math.inf
 
@@ -60,10 +65,13 @@
         """Accept a request, which gets exactly one response unless it is abandoned.
 
         Raises:
-            InvalidRequestError: If a request with the same id is active.
+            InvalidRequestError: If a request with the same id is active, or was abandoned and must not be
+                repeated.
         """
         if message.request_id in self.open_request_ids:
             raise InvalidRequestError("a request with this X-Call-Id is open")
+        if self._abandoned.get(message.request_id) is not None:
+            raise InvalidRequestError("an abandoned request with this X-Call-Id may have run")
         now = now_ms()
         request = self._register(message, receiver)
         ttl_ms = max(0.0, request.deadline_at_ms - now - DEADLINE_MARGIN_MS)
@@ -103,10 +111,23 @@
         """End a request without sending a response to its receiver; see `ActiveRequest.abandon`."""
         if not self._remove(request):
             return
+        self._abandoned.update(request)
         self._counters.increment(CountedEvent.REQUEST_ABANDONED, reason)
         self._tracer.log_abandoned(request, reason)
         self._policy.handle(RequestAbandoned(request.key))
 
+    def attempt_ended(self, request: ActiveRequest) -> None:
+        """Take note of the end of an attempt, which decides whether an abandoned request may be repeated."""
+        if self._abandoned.get(request.message.request_id) is request:
+            self._abandoned.update(request)
+
+    def superseded_by(self, message: ClientRequest) -> ActiveRequest | None:
+        """Return the abandoned request that a new one repeats, if its attempts may be cancelled for that."""
+        abandoned = self._abandoned.get(message.request_id)
+        if abandoned is None or not self._abandoned.may_be_repeated(abandoned):
+            return None
+        return abandoned
+
     def limit_deadlines(self, latest_at_ms: float) -> None:
         """Limit the deadlines of all active and future requests to `latest_at_ms`."""
         self._latest_deadline_at_ms = latest_at_ms
