Read ahead of pipelining clients, so that their disconnect is seen behind what they sent

What servers saw: attempts for a client that had closed its connection with much unread. Cause: a connection stopped reading while anything waited to be parsed. The kernel takes some 100 KB for a connection that is not read; behind that the client's FIN does not arrive, so that neither an event nor a poll of the socket shows that it left. Change: reading goes on while all data of clients together is under half of its budget. Each read keeps its own time of receipt. A client that has over 1 MiB ahead of its turn gets 413 and its pending requests errors: no proper client sends that, and whether it has left can't be known. Left: where data is over half of the budget, reading stops as before, and a disconnect behind unread data is seen late.

--- a/workspond/downstream/buffer_budget.py
+++ b/workspond/downstream/buffer_budget.py
@@ -14,6 +14,8 @@
 from workspond.observability.resource_usage import resident_bytes
 
 MIN_LOG_INTERVAL_S = 1.0  # each enforcement may drop the data of many connections, again and again
+# Connections read ahead while all data together takes less than this part of the budget.
+AMPLE_FRACTION = 0.5
 
 log = logging.getLogger("workspond")
 
@@ -62,6 +64,10 @@
         self._use: dict[Connection, BufferUse] = {}  # holds the connections that keep any data
         self._last_logged_at_s = -math.inf
 
+    def has_ample_room(self) -> bool:
+        """Return whether connections may read ahead of the request that they serve."""
+        return self.total_bytes < AMPLE_FRACTION * self._limit_bytes
+
     def update(self, connection: Connection, use: BufferUse) -> None:
         """Record how much data a connection keeps now."""
         self.total_bytes += sum(use) - sum(self._use.get(connection, NO_USE))
--- a/workspond/downstream/client_connection.py
+++ b/workspond/downstream/client_connection.py
@@ -20,7 +20,8 @@
 from workspond.http.response import Response, render
 from workspond.socket_state import has_peer_closed, is_readable
 
-MAX_READ_BYTES = 16 * 1024  # what is read at once may have to wait in memory until the queue has room
+MAX_READ_BYTES = 16 * 1024
+MAX_READ_AHEAD_BYTES = 1024 * 1024  # clients send one request at a time, some a few more ahead
 # A shorter request that is being served is not counted, as most are and counting takes time.
 MIN_COUNTED_BYTES = 1024
 # All connections together may read so often before data is dropped that each read has to be short.
@@ -69,6 +70,9 @@
         if self._is_input_ended or self._pipeline.is_finished:
             return
         self._pipeline.receive(bytes(_read_buffer[:nbytes]), self._socket)
+        if self._pipeline.unparsed.length > MAX_READ_AHEAD_BYTES:
+            self._reject_pending(Response(413, b"too much sent ahead"))
+            return
         self._process_messages()
         self._update_state()
 
@@ -112,7 +116,7 @@
         """Record the memory that the connection's data takes, if that has changed."""
         waiting_bytes: int = self._transport.get_write_buffer_size()
         pipeline = self._pipeline
-        if pipeline.unparsed or pipeline.messages or pipeline.has_partial_message:
+        if pipeline.unparsed.length or pipeline.messages or pipeline.has_partial_message:
             waiting_bytes += pipeline.waiting_bytes()
         if (waiting_bytes, self._served_bytes) != self._buffer_use:
             self._buffer_use = BufferUse(waiting_bytes, self._served_bytes)
@@ -267,10 +271,15 @@
             request.abandon(reason)
 
     def _update_reading(self) -> None:
-        """Pause reading while the client does not read its responses or received data is unparsed."""
+        """Pause reading while the client does not read its responses.
+
+        Reading is also paused while received data is unparsed and memory is short. Otherwise it goes on, as a
+        disconnect is only noticed once the data before it has been read or fits into the kernel's buffer.
+        """
         if self._is_input_ended or self._transport.is_closing():
             return
-        pause = self._is_writing_paused or bool(self._pipeline.unparsed)
+        may_read_ahead = not self._pipeline.unparsed.length or self._owner.buffers.has_ample_room()
+        pause = self._is_writing_paused or not may_read_ahead
         if pause == self._is_reading_paused:
             return
         self._is_reading_paused = pause
@@ -294,8 +303,7 @@
         elif self.state is ConnectionState.REJECTING:
             self._fail_pending_requests()
         elif self._pipeline.has_partial_message:
-            self._pipeline.reject(Response(408, b"the request took too long to come"))
-            self._fail_pending_requests()
+            self._reject_pending(Response(408, b"the request took too long to come"))
         elif not self.has_unread_data():  # closing a socket with unread data would reset the connection
             never_used = self.state is ConnectionState.AWAITING_FIRST_REQUEST
             self._close(CloseReason.NO_REQUEST if never_used else CloseReason.IDLE)
@@ -308,8 +316,12 @@
         if self._transport.get_write_buffer_size() > self._pipeline.waiting_bytes():
             self.abort(CloseReason.MEMORY_SHORT)
         else:
-            self._pipeline.reject(Response(413, b"memory is short"))
-            self._fail_pending_requests()
+            self._reject_pending(Response(413, b"memory is short"))
+
+    def _reject_pending(self, response: Response) -> None:
+        """Answer pending requests with errors, and end the connection with this error."""
+        self._pipeline.reject(response)
+        self._fail_pending_requests()
 
     def _fail_pending_requests(self) -> None:
         """Answer the requests before a rejection with errors, so that the rejection can be sent in time."""
--- a/workspond/downstream/request_pipeline.py
+++ b/workspond/downstream/request_pipeline.py
@@ -11,6 +11,7 @@
 from collections import deque
 
 from workspond.clock import now_ms
+from workspond.downstream.received_data import ReceivedData
 from workspond.http.request import ClientRequest
 from workspond.http.request_parser import ConnectionRejection, ParsedMessage, RequestParser
 from workspond.http.response import Response
@@ -44,7 +45,6 @@
         "_parsed_parts",
         "_parser",
         "_queued_bytes",
-        "_unparsed_received_at_ms",
         "has_partial_message",
         "is_deferred",
         "is_finished",
@@ -56,21 +56,19 @@
         self._parser = parser
         self._queued_bytes = 0
         self._parsed_parts = 0  # since the last read, or since parsing was deferred
-        self._unparsed_received_at_ms = 0.0
         self.is_deferred = False
         self.messages: deque[ParsedMessage] = deque()
-        self.unparsed = b""
+        self.unparsed = ReceivedData()
         self.has_partial_message = False
         self.is_finished = False
 
     def receive(self, data: bytes, connection: socket.socket) -> None:
         """Store data that was read from a connection, for `parse`."""
-        if not self.unparsed:
-            # The data may have waited in the kernel for long: while the connection was in the backlog, the
-            # event loop was busy, or reading was paused.
-            self._unparsed_received_at_ms = now_ms() - last_data_age_ms(connection)
+        if not self.unparsed.length:
             self._parsed_parts = 0
-        self.unparsed += data
+        # The data may have waited in the kernel for long: while the connection was in the backlog, the event
+        # loop was busy, or reading was paused.
+        self.unparsed.append(data, now_ms() - last_data_age_ms(connection))
 
     def parse(self) -> None:
         """Parse stored data until the queue is full or parsing has to be deferred.
@@ -78,18 +76,17 @@
         Data in many small parts takes far more time than its length suggests, and other connections must not
         wait for it.
         """
-        while self.unparsed and not (self.is_full() or self.is_finished or self.is_deferred):
+        while self.unparsed.length and not (self.is_full() or self.is_finished or self.is_deferred):
             chunk_bytes = BODY_CHUNK_BYTES if self._parser.is_in_body() else HEAD_CHUNK_BYTES
-            chunk = self.unparsed[:chunk_bytes]
-            self.unparsed = self.unparsed[chunk_bytes:]
-            for message in self._parser.feed(chunk, self._unparsed_received_at_ms):
+            chunk, received_at_ms = self.unparsed.take(chunk_bytes)
+            for message in self._parser.feed(chunk, received_at_ms):
                 self._queue(message)
             self.has_partial_message = self._parser.has_partial_message
             self.is_finished = self._parser.is_finished
             self._parsed_parts += self._parser.reported_parts
-            self.is_deferred = bool(self.unparsed) and self._parsed_parts >= MAX_PARTS_PER_ITERATION
+            self.is_deferred = self.unparsed.length > 0 and self._parsed_parts >= MAX_PARTS_PER_ITERATION
         if self.is_finished:
-            self.unparsed = b""
+            self.unparsed.clear()
 
     def _queue(self, message: ParsedMessage) -> None:
         self.messages.append(message)
@@ -103,7 +100,7 @@
 
     def defer(self) -> None:
         """Parse nothing more in this iteration of the event loop."""
-        self.is_deferred = bool(self.unparsed)
+        self.is_deferred = self.unparsed.length > 0
 
     def end_deferral(self) -> None:
         """Allow parsing in this iteration of the event loop."""
@@ -112,7 +109,7 @@
 
     def is_waiting_for_queue(self) -> bool:
         """Return whether received data is not parsed because the queue is full."""
-        return bool(self.unparsed) and not self.is_deferred
+        return self.unparsed.length > 0 and not self.is_deferred
 
     def is_full(self) -> bool:
         """Return whether no more messages are parsed until one is taken from the queue."""
@@ -120,11 +117,11 @@
 
     def waiting_bytes(self) -> int:
         """Return the length of all data that the pipeline keeps."""
-        return len(self.unparsed) + self._queued_bytes + self._parser.partial_bytes()
+        return self.unparsed.memory_bytes() + self._queued_bytes + self._parser.partial_bytes()
 
     def has_more(self) -> bool:
         """Return whether another message has been received, at least in part."""
-        return bool(self.messages or self.unparsed or self.has_partial_message)
+        return bool(self.messages or self.unparsed.length or self.has_partial_message)
 
     def ends_with_rejection(self) -> bool:
         """Return whether the last queued message is an error that ends the connection."""
@@ -133,7 +130,7 @@
     def reject(self, response: Response) -> None:
         """Stop parsing, drop the incomplete message, and queue an error that ends the connection."""
         self.is_finished = True
-        self.unparsed = b""
+        self.unparsed.clear()
         self._parser.discard_message()
         self._queue(ConnectionRejection(response))
 
@@ -150,7 +147,7 @@
         self._parser.discard_message()
         self.messages.clear()
         self._queued_bytes = 0
-        self.unparsed = b""
+        self.unparsed.clear()
 
     def close(self) -> None:
         """Drop all data, and the parser with it; nothing may be received any more."""
