Soak: a crowd of unfinished requests, signals in a series, the memory limit as a rule

In three of ten runs 100 clients stop in the middle of a request of 64 KiB; in half of them a node gets SIGHUP and SIGTERM in turn while it stops; a node that passes its limit of 64 MB of resident memory is reported as a crash. Clients already kept using open connections until SIGKILL, which comes 0.7 s and the longest deadline after SIGTERM.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -19,6 +19,9 @@
 
 CLOCK_STEP_S = 3600
 RELOAD_INTERVAL_S = 0.2
+SIGNALS_BEFORE_STOP = 3
+SIGNAL_INTERVAL_S = 0.15
+CROWD_CLIENTS = 100  # the descriptors of a node allow 140
 FAULTY_CLIENTS_PER_FAULT = 4
 REMOVAL_DELAY_S = 1.5  # a draining server is removed from the list this long after the end of the fault
 CRASH_AFTER_REMOVAL_S = 0.5
@@ -115,6 +118,9 @@
                     *(client.send_garbage() for client in faulty),
                     *(client.send_garbage_after_request() for client in faulty),
                 )
+            case FaultKind.CALLERS_CROWD:
+                crowd = [self._make_faulty_client(node.view) for _ in range(CROWD_CLIENTS)]
+                await asyncio.gather(*(client.send_unfinished_long_request() for client in crowd))
             case FaultKind.CALLERS_HALF:
                 await asyncio.gather(*(client.send_half_request() for client in faulty))
             case _:
@@ -135,6 +141,10 @@
                 async with node.restarting:  # no other restart until the new process is ready
                     await node.stop()
                     await node.start()
+            case FaultKind.NODE_SIGNALS:
+                async with node.restarting:
+                    await self._stop_with_signals(node)
+                    await node.start()
             case FaultKind.NODE_KILL:
                 async with node.restarting:
                     await node.kill()
@@ -152,6 +162,21 @@
             case _ if node.shim is not None:
                 await self._play_shim_fault(fault, node.shim)
 
+    async def _stop_with_signals(self, node: NodeProcess) -> None:
+        """Stop a node while it gets SIGHUP and SIGTERM in turn, the first ones shortly before the stop."""
+        for _ in range(SIGNALS_BEFORE_STOP):
+            node.reload(change_agent=True)
+            await asyncio.sleep(SIGNAL_INTERVAL_S)
+        signals = asyncio.create_task(self._repeat_signals(node))
+        await node.stop()
+        signals.cancel()
+
+    async def _repeat_signals(self, node: NodeProcess) -> None:
+        while True:
+            await asyncio.sleep(SIGNAL_INTERVAL_S)
+            node.reload(change_agent=True)
+            node.signal(signal.SIGTERM)
+
     async def _pause(self, node: NodeProcess, lasts_s: float) -> None:
         node.signal(signal.SIGSTOP)
         await asyncio.sleep(lasts_s)
--- a/soak/faulty_clients.py
+++ b/soak/faulty_clients.py
@@ -8,7 +8,8 @@
 from soak.clients import BUDGET_RANGE_S, LATE_ANSWER_S, NO_ANSWER_ERRORS, Client, DrawnRequest, read_answer
 from soak.oracle import ANSWER_GRACE_S, INVALID_REQUEST_LIMIT_S, TIME_SLACK_S
 from soak.records import Rule
-from soak.settings import DEADLINE_S
+from soak.settings import DEADLINE_S, MAX_BODY_BYTES, PAY
+from standins.messages import render_request
 
 FLOOD_REQUESTS = 20
 IDLE_CONNECTIONS = 100
@@ -57,6 +58,12 @@
         data = self._draw_request().data
         await self._expect_error_or_close("half a request", data[: len(data) // 2])
 
+    async def send_unfinished_long_request(self) -> None:
+        """Send a long request without its last byte; the node must answer with an error or close."""
+        body = b"y" * MAX_BODY_BYTES
+        data = render_request(self._new_id(), PAY.name, f"{DEADLINE_S:.3f}", body, host="soak")
+        await self._expect_error_or_close("an unfinished long request", data[:-1])
+
     async def hold_idle_connections(self, lasts_s: float) -> None:
         """Hold open connections on which nothing is sent."""
         writers = []
--- a/soak/node_process.py
+++ b/soak/node_process.py
@@ -18,7 +18,7 @@
 from soak.node_log import NodeLog
 from soak.oracle import Oracle
 from soak.records import Rule
-from soak.settings import DEADLINE_S, DESCRIPTOR_LIMIT, node_settings
+from soak.settings import DEADLINE_S, DESCRIPTOR_LIMIT, MEMORY_LIMIT_MB, node_settings
 from soak.shim import ShimControl
 from standins.checkout import node_command
 from standins.node_config import node_config
@@ -29,9 +29,21 @@
 ACCEPT_AFTER_TERM_S = 0.3  # clients keep connecting for this long after SIGTERM
 KILL_AFTER_TERM_S = DEADLINE_S + 0.7
 FIRST_RELOAD_S = 1.0  # least time from the start of a process to the first SIGHUP
+MEMORY_POLL_S = 0.1
+KILOBYTES_PER_MB = 1024
 INVALID_CONFIG = '{"name": '
 
 
+def resident_memory_mb(pid: int) -> float:
+    """Return the resident memory of a process; 0 if it has ended."""
+    try:
+        status = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
+    except OSError:
+        return 0.0
+    size = status.partition("VmRSS:")[2].split()  # empty in the last moments of a process
+    return int(size[0]) / KILOBYTES_PER_MB if size else 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class LaunchOptions:
     """Start parameters that all nodes of a run share.
@@ -78,7 +90,7 @@
             listen=f"{host}:{port}",
             discovery=agent.address,
             seed=os.urandom(8).hex(),
-            limits={"cores": 1.0, "memory_mb": 192, "sockets": DESCRIPTOR_LIMIT},
+            limits={"cores": 1.0, "memory_mb": MEMORY_LIMIT_MB, "sockets": DESCRIPTOR_LIMIT},
             known=agent.complete_list(),
             settings=node_settings(self._options.replicas, self.view.number),
         )
@@ -123,6 +135,7 @@
         if self._process.stderr is not None:
             self._spawn(self.log.copy_from(self._process.stderr))
         self._spawn(self._watch(self._process))
+        self._spawn(self._watch_memory(self._process))
         await self._wait_until_ready()
         self.view.accepts_connections = True
         self._reloadable_from_s = max(asyncio.get_running_loop().time(), began_s + FIRST_RELOAD_S)
@@ -169,6 +182,15 @@
             self._report_crash(f"ended with status {status}")
             self._stop_connections()
 
+    async def _watch_memory(self, process: asyncio.subprocess.Process) -> None:
+        """Report a process whose resident memory passes its limit, for which the platform would kill it."""
+        while process.returncode is None:
+            resident_mb = resident_memory_mb(process.pid)
+            if resident_mb > MEMORY_LIMIT_MB:
+                self._report_crash(f"{resident_mb:.1f} MB of memory, over the limit of {MEMORY_LIMIT_MB} MB")
+                return
+            await asyncio.sleep(MEMORY_POLL_S)
+
     def _report_crash(self, problem: str) -> None:
         last_line = self.log.last_line()
         log_end = "" if last_line is None else f"; its log ends with: {last_line}"
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -22,6 +22,7 @@
     NODE_RELOAD = "node_reload"  # SIGHUP with another discovery address
     NODE_RELOADS = "node_reloads"  # SIGHUP repeatedly
     NODE_BAD_RELOAD = "node_bad_reload"  # SIGHUP with an invalid file
+    NODE_SIGNALS = "node_signals"  # SIGHUP and SIGTERM in a series, and a new process once it has ended
     # A node's clock, system calls and log
     CLOCK_STEP = "clock_step"  # the wall clock steps forward or back
     ACCEPT_FAILS = "accept_fails"  # EMFILE, ENFILE, ECONNABORTED
@@ -55,9 +56,12 @@
     CALLERS_GARBAGE = "callers_garbage"  # invalid requests, alone or after a valid one
     CALLERS_HALF = "callers_half"  # clients stop in the middle of a request
     CALLERS_IDLE = "callers_idle"  # many connections without a request
+    CALLERS_CROWD = "callers_crowd"  # many clients stop in the middle of a long request
 
 
 SERVER_KINDS = frozenset(kind for kind in FaultKind if kind.value.startswith(("server_", "proxy_")))
+# Each of these is added to a run with this probability; the other kinds are drawn for each fault.
+PROBABILITY_PER_RUN = {FaultKind.NODE_SIGNALS: 0.5, FaultKind.CALLERS_CROWD: 0.3}
 # A node can't answer in time while it is paused or can't accept or open connections. Longer faults of these
 # kinds would make answers so late that they count as lost.
 MAX_DURATION_S = {FaultKind.NODE_PAUSE: 0.15, FaultKind.SOCKET_FAILS: 1.0, FaultKind.ACCEPT_FAILS: 0.4}
@@ -111,18 +115,25 @@
 ) -> Schedule:
     """Draw a schedule of overlapping faults; the same arguments give the same schedule."""
     rng = random.Random(seed)
-    ordered = sorted(kinds, key=lambda kind: kind.value)
-    latest_s = seconds - QUIET_END_S
+    ordered = sorted(kinds - PROBABILITY_PER_RUN.keys(), key=lambda kind: kind.value)
+    count = round(faults_per_s * max(0.0, seconds - QUIET_END_S - QUIET_START_S)) if ordered else 0
     faults = []
-    for _ in range(round(faults_per_s * max(0.0, latest_s - QUIET_START_S))):
-        kind = rng.choice(ordered)
-        lasts_s = rng.uniform(MIN_DURATION_S, MAX_DURATION_S.get(kind, DEFAULT_MAX_DURATION_S))
-        at_s = rng.uniform(QUIET_START_S, latest_s)
-        targets = servers if kind in SERVER_KINDS else nodes
-        faults.append(Fault(kind, round(at_s, 3), round(lasts_s, 3), rng.randrange(targets)))
+    for _ in range(count):
+        faults.append(_draw_fault(rng, rng.choice(ordered), seconds, nodes, servers))
+    for kind, probability in PROBABILITY_PER_RUN.items():
+        if kind in kinds and rng.random() < probability:
+            faults.append(_draw_fault(rng, kind, seconds, nodes, servers))
     return Schedule(seed, seconds, nodes, tuple(sorted(faults, key=lambda fault: fault.at_s)))
 
 
+def _draw_fault(rng: random.Random, kind: FaultKind, seconds: float, nodes: int, servers: int) -> Fault:
+    """Draw the time, duration and target of a fault."""
+    lasts_s = rng.uniform(MIN_DURATION_S, MAX_DURATION_S.get(kind, DEFAULT_MAX_DURATION_S))
+    at_s = rng.uniform(QUIET_START_S, seconds - QUIET_END_S)
+    targets = servers if kind in SERVER_KINDS else nodes
+    return Fault(kind, round(at_s, 3), round(lasts_s, 3), rng.randrange(targets))
+
+
 def read_schedule(text: str) -> Schedule:
     """Parse a schedule that `to_json` wrote; raises `ScheduleError` if the text is not a schedule."""
     try:
--- a/soak/settings.py
+++ b/soak/settings.py
@@ -28,10 +28,11 @@
 
 
 READ = RequestClass("read", Idempotency.IDEMPOTENT, 0.5)
+PAY = RequestClass("pay", Idempotency.NON_IDEMPOTENT, 0.25)
 CLASSES = (
     READ,
     RequestClass("save", Idempotency.KEYED, 0.25),
-    RequestClass("pay", Idempotency.NON_IDEMPOTENT, 0.25),
+    PAY,
 )
 IDEMPOTENCY_BY_CLASS = {request_class.name: request_class.idempotency for request_class in CLASSES}
 # The objective determines how long retries wait. With a short one, all retries are over before a rule about
@@ -48,6 +49,8 @@
 OVERLOAD_WINDOW_S = 1.5
 SERVER_GROUPS = 2  # the servers of a group share the deduplication of keyed requests
 DESCRIPTOR_LIMIT = 256
+MEMORY_LIMIT_MB = 64
+MAX_BODY_BYTES = 64 * 1024
 IDLE_TIMEOUT_MS = 5_000.0
 CONNECT_TIMEOUT_MS = 250.0
 PERMISSIONS = {
