Count incomplete responses of servers against the budget, and drop them at a close

Cause: responses under way were bounded by their number only, and a closed connection kept its part of one until the event loop reported the loss, up to 170 of them in one iteration. Change: a connection to a server reports its incomplete response. When memory is short it is dropped after all data of clients, and at once at one and a half times the budget; the attempt ends like one with a response that can't be read. The parser is released when the connection is closed.

--- a/tests/test_buffer_budget.py
+++ b/tests/test_buffer_budget.py
@@ -25,7 +25,15 @@
 class BufferingClient:
     """A connection whose use of memory the test sets."""
 
-    def __init__(self, budget: BufferBudget[BufferingClient], waiting: int, served: int) -> None:
+    def __init__(
+        self,
+        budget: BufferBudget[BufferingClient],
+        waiting: int,
+        served: int,
+        *,
+        drops_last: bool = False,
+    ) -> None:
+        self.drops_last = drops_last
         self.has_dropped = False
         self._budget = budget
         self._use = BufferUse(waiting, served)
@@ -53,6 +61,20 @@
     run(test())
 
 
+def test_connections_that_drop_last_keep_their_data_while_others_have_any() -> None:
+    async def test() -> None:
+        budget: BufferBudget[BufferingClient] = BufferBudget(100)
+        server = BufferingClient(budget, 80, 0, drops_last=True)
+        clients = [BufferingClient(budget, 15, 0) for _ in range(3)]
+        await asyncio.sleep(0)
+        assert sum(client.has_dropped for client in clients) == 2 and not server.has_dropped
+        BufferingClient(budget, 0, 90)
+        await asyncio.sleep(0)
+        assert server.has_dropped
+
+    run(test())
+
+
 def test_data_of_requests_being_served_is_never_dropped() -> None:
     async def test() -> None:
         budget: BufferBudget[BufferingClient] = BufferBudget(100)
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -50,7 +50,9 @@
         self, address: str, *, connect_timeout_ms: float = 5000.0, keepalive_ms: float = 60_000.0
     ) -> None:
         loop = asyncio.get_running_loop()
-        self.connection_pool = ConnectionPool(loop, connect_timeout_ms, keepalive_ms, lambda: 100)
+        self.connection_pool = ConnectionPool(
+            loop, connect_timeout_ms, keepalive_ms, lambda: 100, lambda _connection, _size_bytes: True
+        )
         host, port = address.split(":")
         self.address: Address = (host, int(port))
         self.outcomes: list[Outcome] = []
--- a/tests/test_memory_of_many_clients.py
+++ b/tests/test_memory_of_many_clients.py
@@ -15,13 +15,14 @@
 
 from standins.readiness import is_ready
 from tests.memory_sampler import sampled_program
-from tests.peers import Client, NodeEnvironment, Server, node_environment, request, run
+from tests.peers import Client, NodeEnvironment, Server, node_environment, render_response, request, run
 
 MEMORY_MB = 32
 DESCRIPTORS = 1024
 CLIENT_COUNT = 540  # a few less than the descriptors allow; memory allows fewer
 ROUNDS = 2  # the second shows whether the memory of the first can be used again
 SERVER_COUNT = 20
+MANY_SERVERS = 100
 MAX_BODY_BYTES = 64 * 1024
 MAX_NAME_BYTES = 15_000
 # A name with one character outside the basic plane takes four bytes a character in memory.
@@ -46,6 +47,11 @@
     )
 
 
+def short_request(client: int) -> bytes:
+    """Render a request without a body."""
+    return request(f"{client}", budget="2")
+
+
 async def send_and_read(environment: NodeEnvironment, data: bytes) -> None:
     """Send data on a new connection, wait for a response or a close, and close the connection."""
     with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
@@ -55,6 +61,29 @@
         client.writer.close()
 
 
+def test_resident_memory_stays_within_the_limit_while_servers_stop_in_long_responses(tmp_path: Path) -> None:
+    """Guards against a node that is killed for the responses that its servers have not completed."""
+
+    async def test() -> None:
+        unfinished = render_response(200, b"x" * MAX_BODY_BYTES)[:-1]
+        servers = [Server(default=unfinished, name=f"s{number}") for number in range(MANY_SERVERS)]
+        async with (
+            node_environment(
+                tmp_path, *servers, start=False, sockets=DESCRIPTORS, memory_mb=MEMORY_MB
+            ) as environment,
+            sampled_program(environment) as sampler,
+        ):
+            for _ in range(ROUNDS):
+                clients = (
+                    send_and_read(environment, short_request(client)) for client in range(CLIENT_COUNT)
+                )
+                await asyncio.gather(*clients)
+            assert await is_ready(*environment.address)
+            assert sampler.peak_resident_mb() < MEMORY_MB
+
+    run(test())
+
+
 @pytest.mark.parametrize("render", [unfinished_body, complete_body, long_names])
 def test_resident_memory_stays_within_the_limit(render: Callable[[int], bytes], tmp_path: Path) -> None:
     """Guards against a node that is killed because it counts less than its clients make it keep."""
--- a/tests/test_released_memory.py
+++ b/tests/test_released_memory.py
@@ -31,9 +31,22 @@
         gc.enable()
 
 
-def count_live(kind: type) -> int:
-    """Return the number of objects of a class in memory."""
-    return sum(isinstance(each, kind) for each in gc.get_objects())
+def live_objects(*kinds: type) -> list[object]:
+    """Return the objects of some classes in memory."""
+    return [each for each in gc.get_objects() if isinstance(each, kinds)]
+
+
+class NewObjects:
+    """Counts objects that did not exist when it was created, as other tests may leave some behind."""
+
+    def __init__(self, *kinds: type) -> None:
+        self._kinds = kinds
+        self._old = live_objects(*kinds)  # kept, so that no new object gets the identity of an old one
+        self._old_identities = {id(each) for each in self._old}
+
+    def live(self) -> list[object]:
+        """Return the new objects in memory."""
+        return [each for each in live_objects(*self._kinds) if id(each) not in self._old_identities]
 
 
 def test_an_answered_request_is_released_while_its_connection_stays_open(tmp_path: Path) -> None:
@@ -42,9 +55,10 @@
     async def test() -> None:
         async with node_environment(tmp_path, Server()) as environment:
             client = await environment.client()
+            requests = NewObjects(ClientRequest)
             with no_garbage_collection():
                 await client.send_request("a", "pay", body=b"x" * BODY_BYTES)
-                await until(lambda: not count_live(ClientRequest))
+                await until(lambda: not requests.live())
 
     run(test())
 
@@ -56,9 +70,11 @@
         async with node_environment(tmp_path, Server(default=HANG)) as environment:
             node = await ready_node(environment)
             client = await environment.client()
+            requests = NewObjects(ClientRequest)
             client.write(request("a", "pay", body=b"x" * BODY_BYTES))
             await until(lambda: node.resource_usage().attempts == 1)
-            [message] = (each for each in gc.get_objects() if isinstance(each, ClientRequest))
+            [message] = requests.live()
+            assert isinstance(message, ClientRequest)
             client.writer.close()
             await until(lambda: not node.resource_usage().requests)
             assert node.resource_usage().attempts == 1 and not message.body
@@ -73,12 +89,13 @@
     async def test() -> None:
         async with node_environment(tmp_path, Server()) as environment:
             node = await ready_node(environment)
+            parts = NewObjects(ClientConnection, RequestParser)
             with no_garbage_collection():
                 client = await environment.client()
                 client.write(data)
                 await until(lambda: bool(node.frontend.connections.all()))
                 client.writer.close()
-                await until(lambda: not count_live(ClientConnection) and not count_live(RequestParser))
+                await until(lambda: not parts.live())
 
     run(test())
 
@@ -89,10 +106,9 @@
     async def test() -> None:
         async with node_environment(tmp_path, Server(default=RESET)) as environment:
             node = await ready_node(environment)
+            parts = NewObjects(ServerConnection, ResponseParser)
             with no_garbage_collection():
                 await environment.send_request("a", "pay")
-                await until(lambda: not node.resource_usage().server_connections)
-                # The one that is left belongs to the connection to the discovery agent.
-                await until(lambda: count_live(ServerConnection) == 0 and count_live(ResponseParser) == 1)
+                await until(lambda: not node.resource_usage().server_connections and not parts.live())
 
     run(test())
--- a/workspond/downstream/buffer_budget.py
+++ b/workspond/downstream/buffer_budget.py
@@ -1,4 +1,4 @@
-"""Bounds the memory that the data of all client connections takes together.
+"""Bounds the memory that the data of all connections of clients and to servers takes together.
 
 Each connection bounds its own data, but there may be many of them. If they keep too much together, those with
 the most waiting data are made to drop it. Data of requests that are being served is counted and not dropped.
@@ -16,6 +16,8 @@
 MIN_LOG_INTERVAL_S = 1.0  # each enforcement may drop the data of many connections, again and again
 # Connections read ahead while all data together takes less than this part of the budget.
 AMPLE_FRACTION = 0.5
+# Over this multiple of the budget, not even a response may grow until data has been dropped.
+HARD_LIMIT_RATIO = 1.5
 
 log = logging.getLogger("workspond")
 
@@ -36,7 +38,13 @@
 
 
 class BufferingConnection(Protocol):
-    """A connection that keeps data in memory."""
+    """A connection that keeps data in memory.
+
+    Attributes:
+        drops_last: Whether the data of other connections is dropped before that of this one.
+    """
+
+    drops_last: bool
 
     def report_buffer_use(self) -> None:
         """Record the current use, as sending ends without an event of the connection."""
@@ -68,6 +76,10 @@
         """Return whether connections may read ahead of the request that they serve."""
         return self.total_bytes < AMPLE_FRACTION * self._limit_bytes
 
+    def is_far_exceeded(self) -> bool:
+        """Return whether data must be dropped now, not only in the next iteration of the event loop."""
+        return self.total_bytes > HARD_LIMIT_RATIO * self._limit_bytes
+
     def update(self, connection: Connection, use: BufferUse) -> None:
         """Record how much data a connection keeps now."""
         self.total_bytes += sum(use) - sum(self._use.get(connection, NO_USE))
@@ -91,15 +103,21 @@
             self._log_enforcement(total_before)
 
     def _drop_excess(self) -> None:
-        """Have connections drop their waiting data, those with the most first, while there is too much."""
+        """Have connections drop their waiting data, those with the most first, while there is too much.
+
+        Those that drop last follow after all others.
+        """
         for connection in list(self._use):
             connection.report_buffer_use()
-        for connection in sorted(self._use, key=self._waiting_bytes, reverse=True):
+        for connection in sorted(self._use, key=self._drop_order):
             if self.total_bytes <= self._limit_bytes:
                 break
             if self._waiting_bytes(connection):  # another connection's drop may have ended this one
                 connection.drop_waiting_data()
 
+    def _drop_order(self, connection: Connection) -> tuple[bool, int]:
+        return connection.drops_last, -self._waiting_bytes(connection)
+
     def _waiting_bytes(self, connection: Connection) -> int:
         return self._use.get(connection, NO_USE).waiting_bytes
 
--- a/workspond/downstream/client_connection.py
+++ b/workspond/downstream/client_connection.py
@@ -34,6 +34,8 @@
 class ClientConnection(asyncio.BufferedProtocol):
     """A client connection, on which one request at a time is processed, in the order of arrival."""
 
+    drops_last = False  # see `BufferingConnection`
+
     def __init__(self, owner: ConnectionOwner[ClientConnection]) -> None:
         self.state: ConnectionState | None = None  # set by the owner; None while the connection is not open
         self._owner = owner
--- a/workspond/downstream/frontend.py
+++ b/workspond/downstream/frontend.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from workspond.address import Address
-from workspond.downstream.buffer_budget import NO_USE, BufferBudget
+from workspond.downstream.buffer_budget import NO_USE, BufferBudget, BufferingConnection
 from workspond.downstream.client_connection import ClientConnection
 from workspond.downstream.close_reason import CloseReason
 from workspond.downstream.connection_states import ConnectionState, ConnectionTable
@@ -63,7 +63,7 @@
         self.classes = classes
         self.tracer = ConnectionTracer(counters)
         self.connections: ConnectionTable[ClientConnection] = ConnectionTable()
-        self.buffers: BufferBudget[ClientConnection] = BufferBudget(max_buffer_bytes)
+        self.buffers: BufferBudget[BufferingConnection] = BufferBudget(max_buffer_bytes)
         # While memory is short, data is dropped before anything more is parsed.
         self.turns = TurnScheduler(lambda: self.buffers.is_exceeded)
         self._handler = handler
--- a/workspond/downstream/interfaces.py
+++ b/workspond/downstream/interfaces.py
@@ -12,7 +12,7 @@
 from workspond.observability.connection_trace import ConnectionTracer
 from workspond.policy.settings import RequestClass
 
-Connection = TypeVar("Connection", bound=BufferingConnection)
+Connection_contra = TypeVar("Connection_contra", contravariant=True)
 
 
 class AcceptedRequest(Protocol):
@@ -32,12 +32,12 @@
         """Return whether the client no longer waits for the response."""
 
 
-class ConnectionOwner(Protocol[Connection]):
+class ConnectionOwner(Protocol[Connection_contra]):
     """The part of the frontend that a client connection uses."""
 
     classes: dict[str, RequestClass]
     tracer: ConnectionTracer
-    buffers: BufferBudget[Connection]
+    buffers: BufferBudget[BufferingConnection]
     turns: TurnScheduler
 
     def accept(self, request: ClientRequest, receiver: ResponseReceiver) -> AcceptedRequest:
@@ -50,11 +50,11 @@
     def internal_path_response(self, path: bytes) -> Response:
         """Return the response to a request for one of the node's own paths."""
 
-    def connection_opened(self, connection: Connection) -> None:
+    def connection_opened(self, connection: Connection_contra) -> None:
         """Track a new connection."""
 
-    def connection_state_changed(self, connection: Connection, state: ConnectionState) -> None:
+    def connection_state_changed(self, connection: Connection_contra, state: ConnectionState) -> None:
         """Record the state that a connection has entered."""
 
-    def connection_closed(self, connection: Connection) -> None:
+    def connection_closed(self, connection: Connection_contra) -> None:
         """Stop tracking a connection; a second call for the same connection does nothing."""
--- a/workspond/http/response_parser.py
+++ b/workspond/http/response_parser.py
@@ -149,6 +149,10 @@
         status = self._status if self._ignores_rest else self._parser.get_status_code()
         return ParsedResponse(status, self._headers, self._body.take())
 
+    def partial_bytes(self) -> int:
+        """Return the length of the body so far."""
+        return len(self._body)
+
     def close(self) -> None:
         """Release all memory; nothing may be fed before the next `start`.
 
--- a/workspond/node.py
+++ b/workspond/node.py
@@ -16,6 +16,7 @@
 )
 from workspond.discovery.endpoint_list import EndpointList
 from workspond.discovery.watcher import EndpointWatcher
+from workspond.downstream.buffer_budget import BufferUse
 from workspond.downstream.frontend import Frontend
 from workspond.downstream.interfaces import ResponseReceiver
 from workspond.endpoint_table import EndpointTable
@@ -41,6 +42,7 @@
 from workspond.policy.events import EndpointUpdate, NodeStarted, TimerFired, UpdateKind
 from workspond.policy_runner import PolicyRunner
 from workspond.request_registry import RequestRegistry
+from workspond.upstream.connection import ServerConnection
 from workspond.upstream.connection_pool import ConnectionPool
 from workspond.upstream.send_guard import SendGuard
 
@@ -73,7 +75,11 @@
         self._requests = RequestRegistry(loop, self._policy, self.counters, RequestTracer(), settings.classes)
         self._endpoints = EndpointTable()
         self._upstream = ConnectionPool(
-            loop, settings.connect_timeout_ms, settings.keepalive_ms, self._available_descriptors
+            loop,
+            settings.connect_timeout_ms,
+            settings.keepalive_ms,
+            self._available_descriptors,
+            self._count_response,
         )
         self._attempts = AttemptRunner(
             requests=self._requests,
@@ -147,6 +153,12 @@
             self._descriptor_limit, self.frontend.connection_count(), self._upstream.connection_count()
         )
 
+    def _count_response(self, connection: ServerConnection, size_bytes: int) -> bool:
+        """Count the part of a response that a server has sent, and return whether it may be kept."""
+        buffers = self.frontend.buffers
+        buffers.update(connection, BufferUse(waiting_bytes=size_bytes, served_bytes=0))
+        return not buffers.is_far_exceeded()
+
     # Methods of RequestHandler
 
     def is_ready(self) -> bool:
--- a/workspond/upstream/connection.py
+++ b/workspond/upstream/connection.py
@@ -26,6 +26,9 @@
 responses do not identify their request, the second one would be taken for the response to the next request.
 """
 
+MIN_COUNTED_BYTES = 1024
+"""The length below which an incomplete response does not count against the limit on memory."""
+
 REJECTION_STATUSES = (503, 504)
 """The statuses that, with `X-Rejected: 1`, report that the server has not run the request."""
 
@@ -47,6 +50,9 @@
     def remove(self, connection: ServerConnection) -> None:
         """Remove a connection that is closed or about to be closed."""
 
+    def report_buffered(self, connection: ServerConnection, size_bytes: int) -> bool:
+        """Count the part of a response that a connection keeps; return whether it may be kept."""
+
 
 class ServerConnection(asyncio.Protocol):
     """A connection to a server, used by one attempt at a time.
@@ -56,8 +62,11 @@
         address: The address to which the connection was opened.
         idle_since_ms: The time, by `now_ms`, at which the connection last became idle.
         reusable_at_ms: The time, by `now_ms`, before which no attempt may be sent on the connection.
+        drops_last: Whether data of other connections is dropped before that of this one.
     """
 
+    drops_last = True  # a response has cost work and may belong to a sound client
+
     def __init__(self, owner: ConnectionOwner, server_id: int, address: Address) -> None:
         self.server_id = server_id
         self.address = address
@@ -69,6 +78,7 @@
         self._is_open = False
         self._is_writing_paused = False
         self._parser = ResponseParser(RESPONSE_RULES)
+        self._reported_bytes = 0  # of an incomplete response, as last reported to the owner
 
     # Callbacks of the transport
 
@@ -102,6 +112,8 @@
                 self._complete_attempt()
             case ParseState.MALFORMED | ParseState.TOO_LARGE:
                 self._end_attempt(Outcome.ERROR, can_reuse=False)
+            case ParseState.INCOMPLETE:
+                self._count_incomplete_response()
 
     def eof_received(self) -> None:
         """Handle an orderly close by the server, which completes a response without a length.
@@ -120,16 +132,41 @@
             self._end_attempt(outcome, can_reuse=False)
         self._parser.close()
 
+    # Called when memory is short
+
+    def report_buffer_use(self) -> None:
+        """Count the incomplete response, if its length has changed."""
+        self._report_buffered()
+
+    def _report_buffered(self) -> bool:
+        """Count the incomplete response; return whether it may be kept."""
+        size_bytes = self._parser.partial_bytes() if self._attempt is not None else 0
+        size_bytes = size_bytes if size_bytes >= MIN_COUNTED_BYTES else 0
+        if size_bytes == self._reported_bytes:
+            return True
+        self._reported_bytes = size_bytes
+        return self._owner.report_buffered(self, size_bytes)
+
+    def _count_incomplete_response(self) -> None:
+        # Many servers may send much within one iteration of the event loop.
+        if not self._report_buffered():
+            self.drop_waiting_data()
+
+    def drop_waiting_data(self) -> None:
+        """Drop an incomplete response; the attempt ends like one with a response that can't be read."""
+        if self._attempt is not None:
+            self._end_attempt(Outcome.ERROR, can_reuse=False)
+
     # Called by the pool
 
     def close(self) -> None:
         """Close the connection at once, without reporting an outcome for its attempt."""
         self._owner.remove(self)
         self._attempt = None
+        self.report_buffer_use()
+        self._parser.close()  # at once, as the event loop only reports the loss of the connection later
         if self._is_open:
             self._transport.abort()
-        else:
-            self._parser.close()
 
     def is_usable(self) -> bool:
         """Return whether a request may be written: the connection is open and nothing is unread.
@@ -175,6 +212,7 @@
     ) -> None:
         attempt = self._attempt
         self._attempt = None
+        self.report_buffer_use()
         # The connection is released before the outcome is reported, as the handler may send the next attempt.
         if can_reuse and not self._is_writing_paused and self.is_usable():
             self.reusable_at_ms = now_ms() + REUSE_DELAY_MS
--- a/workspond/upstream/connection_pool.py
+++ b/workspond/upstream/connection_pool.py
@@ -62,6 +62,7 @@
         connect_timeout_ms: float,
         keepalive_ms: float,
         available_descriptors: Callable[[], int],
+        report_buffered: Callable[[ServerConnection, int], bool],
     ) -> None:
         """Create an empty pool.
 
@@ -70,9 +71,12 @@
             connect_timeout_ms: The maximum time to open a connection.
             keepalive_ms: The idle time after which servers close a connection.
             available_descriptors: Returns how many more sockets the process may open.
+            report_buffered: Counts the length in bytes of an incomplete response, and returns whether it may
+                be kept.
         """
         self._loop = loop
         self._available_descriptors = available_descriptors
+        self.report_buffered = report_buffered
         self._connect_timeout_s = connect_timeout_ms / 1000.0
         self._max_idle_ms = keepalive_ms * MAX_IDLE_FRACTION
         # By server id. Each list begins with the least recently used connection.
