--- a/tests/broken_nodes.py
+++ b/tests/broken_nodes.py
@@ -75,7 +75,7 @@
             Patch(CLIENT_CONNECTION, "            request.abandon(reason)\n", "            pass\n"),
             Patch(
                 CLIENT_CONNECTION,
-                "if self._is_input_ended or self._transport.is_closing():\n            return True",
+                "if self._is_input_ended or self._socket.is_closing():\n            return True",
                 "if True:\n            return False",
             ),
         ),
--- a/tests/test_buffer_budget.py
+++ b/tests/test_buffer_budget.py
@@ -11,7 +11,7 @@
 from tests.client_helpers import ready_node
 from tests.peers import HANG, Client, Server, node_environment, request, run, until
 from workspond.downstream.buffer_budget import BufferBudget, BufferUse
-from workspond.downstream.client_connection import MAX_READ_BYTES, MAX_READ_BYTES_WHILE_SHORT
+from workspond.downstream.client_socket import MAX_READ_BYTES, MAX_READ_BYTES_WHILE_SHORT
 from workspond.memory_limits import max_client_buffer_bytes
 
 MEMORY_MB = 4
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -93,7 +93,7 @@
     connections = running_node(environment).frontend.connections
     await until(lambda: len(connections) == 1)
     [connection] = connections.in_state(ConnectionState.AWAITING_FIRST_REQUEST)
-    node_socket = connection._transport.get_extra_info("socket")
+    node_socket = connection._socket._transport.get_extra_info("socket")
     node_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
     return connection
 
--- a/workspond/downstream/client_connection.py
+++ b/workspond/downstream/client_connection.py
@@ -6,11 +6,9 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-from typing import cast
 
-from workspond.address import format_address
 from workspond.downstream.buffer_budget import NO_USE, BufferUse
+from workspond.downstream.client_socket import ClientSocket, copy_of_read, read_buffer
 from workspond.downstream.close_reason import AbandonReason, CloseReason, rejected_with
 from workspond.downstream.connection_states import ConnectionState
 from workspond.downstream.interfaces import AcceptedRequest, ConnectionOwner
@@ -18,17 +16,10 @@
 from workspond.http.request import ClientRequest, InvalidRequestError
 from workspond.http.request_parser import ConnectionRejection, ParsedMessage, RequestParser
 from workspond.http.response import Response, render
-from workspond.socket_state import has_peer_closed, is_readable
 
-MAX_READ_BYTES = 16 * 1024
 MAX_READ_AHEAD_BYTES = 1024 * 1024  # clients send one request at a time, some a few more ahead
 # A shorter request that is being served is not counted, as most are and counting takes time.
 MIN_COUNTED_BYTES = 1024
-# All connections together may read so often before data is dropped that each read has to be short.
-MAX_READ_BYTES_WHILE_SHORT = 512  # while memory is short
-# Holds what was read last, of any connection, until it is copied at once.
-_read_buffer = memoryview(bytearray(MAX_READ_BYTES))
-_short_read_buffer = _read_buffer[:MAX_READ_BYTES_WHILE_SHORT]
 
 
 class ClientConnection(asyncio.BufferedProtocol):
@@ -39,8 +30,7 @@
     def __init__(self, owner: ConnectionOwner[ClientConnection]) -> None:
         self.state: ConnectionState | None = None  # set by the owner; None while the connection is not open
         self._owner = owner
-        self._transport: asyncio.Transport
-        self._socket: socket.socket
+        self._socket: ClientSocket
         self._pipeline = RequestPipeline(RequestParser(owner.classes, owner.internal_path_response))
         self._active_request: AcceptedRequest | None = None
         self._awaits_response = False  # True from the call of the owner's `accept` until the response is sent
@@ -48,7 +38,6 @@
         self._is_draining = False  # if True, the connection closes after its pending responses
         self._is_input_ended = False  # True after an EOF of the client, and if further input is ignored
         self._is_writing_paused = False  # True while the client does not read its responses
-        self._is_reading_paused = False
         self._served_bytes = 0  # the length of the active request, or 0 if it is short
         self._buffer_use = NO_USE  # as last recorded by the owner
         self._is_turn_scheduled = False  # True while the connection waits for its turn to go on
@@ -58,20 +47,18 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and register the connection with its owner."""
-        # The cast is needed as uvloop's transports do not inherit from asyncio.Transport.
-        self._transport = cast(asyncio.Transport, transport)
-        self._socket = self._transport.get_extra_info("socket")
+        self._socket = ClientSocket(transport)
         self._owner.connection_opened(self)
 
     def get_buffer(self, _sizehint: int) -> memoryview:
         """Return the buffer for the next read."""
-        return _short_read_buffer if self._owner.buffers.is_exceeded else _read_buffer
+        return read_buffer(is_memory_short=self._owner.buffers.is_exceeded)
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse the data that was read and process the requests that it completes."""
         if self._is_input_ended or self._pipeline.is_finished:
             return
-        self._pipeline.receive(bytes(_read_buffer[:nbytes]), self._socket)
+        self._pipeline.receive(copy_of_read(nbytes), self._socket.socket)
         if self._pipeline.unparsed.length > MAX_READ_AHEAD_BYTES:
             self._reject_pending(Response(413, b"too much sent ahead"))
             return
@@ -96,7 +83,7 @@
     def resume_writing(self) -> None:
         """Continue with queued messages once the client has read what was written."""
         self._is_writing_paused = False
-        if not self._is_input_ended and not self._transport.is_closing():
+        if not self._is_input_ended and not self._socket.is_closing():
             self._process_messages()
             self._update_state()
 
@@ -116,7 +103,7 @@
 
     def report_buffer_use(self) -> None:
         """Record the memory that the connection's data takes, if that has changed."""
-        waiting_bytes: int = self._transport.get_write_buffer_size()
+        waiting_bytes = self._socket.unsent_bytes()
         pipeline = self._pipeline
         if pipeline.unparsed.length or pipeline.messages or pipeline.has_partial_message:
             waiting_bytes += pipeline.waiting_bytes()
@@ -125,7 +112,7 @@
             self._owner.buffers.update(self, self._buffer_use)
 
     def _current_state(self) -> ConnectionState:
-        if self._is_input_ended or self._is_writing_paused or self._transport.is_closing():
+        if self._is_input_ended or self._is_writing_paused or self._socket.is_closing():
             return ConnectionState.FLUSHING
         if self._pipeline.ends_with_rejection():
             return ConnectionState.REJECTING
@@ -142,8 +129,8 @@
         """Return whether data or an EOF has been received that the event loop will still process."""
         if self._is_turn_scheduled:
             return True
-        is_reading = not (self._is_reading_paused or self._is_input_ended or self._transport.is_closing())
-        return is_reading and is_readable(self._socket)
+        is_reading = not (self._socket.is_reading_paused or self._is_input_ended or self._socket.is_closing())
+        return is_reading and self._socket.is_readable()
 
     def has_disconnected(self) -> bool:
         """Return whether the client has closed the connection or its sending side.
@@ -154,14 +141,12 @@
         sockets may be handled earlier in the same iteration of the loop. After a long iteration, or while
         reading from this connection is paused, the close may have arrived long before.
         """
-        if self._is_input_ended or self._transport.is_closing():
+        if self._is_input_ended or self._socket.is_closing():
             return True
-        if not has_peer_closed(self._socket):
+        if not self._socket.has_peer_closed():
             return False
         self._end_input()
-        if self._is_reading_paused:
-            # Once the transport has read the EOF, it closes as soon as everything is written.
-            self._transport.resume_reading()
+        self._socket.read_to_end()
         self._update_state()
         return True
 
@@ -216,13 +201,13 @@
     def take_turn(self) -> None:
         """Continue with the data and messages that had to wait."""
         self._is_turn_scheduled = False
-        if not self._is_input_ended and not self._transport.is_closing():
+        if not self._is_input_ended and not self._socket.is_closing():
             self._pipeline.end_deferral()
             self._process_messages()
             self._update_state()
 
     def _can_process_message(self) -> bool:
-        is_output_blocked = self._is_writing_paused or self._transport.is_closing()
+        is_output_blocked = self._is_writing_paused or self._socket.is_closing()
         return bool(self._pipeline.messages) and not self._awaits_response and not is_output_blocked
 
     def _accept(self, request: ClientRequest) -> None:
@@ -245,7 +230,7 @@
         self._active_request = None
         self._awaits_response = False
         self._served_bytes = 0
-        if not self._transport.is_closing():
+        if not self._socket.is_closing():
             self._write(response)
             if not self._is_processing:
                 self._await_turn()
@@ -253,7 +238,7 @@
 
     def _write(self, response: Response) -> None:
         is_last = (self._is_draining or self._pipeline.is_finished) and not self._has_more_input()
-        self._transport.write(render(response, close=is_last))
+        self._socket.write(render(response, close=is_last))
         if is_last:
             self._close_when_written()
 
@@ -261,7 +246,7 @@
         """Return whether a further message is queued, partly received or unread in the socket."""
         if self._pipeline.has_more():
             return True
-        return not self._pipeline.is_finished and is_readable(self._socket)
+        return not self._pipeline.is_finished and self._socket.is_readable()
 
     def _abandon_active_request(self, reason: AbandonReason) -> None:
         """Cancel the active request, if there is one."""
@@ -278,17 +263,10 @@
         Reading is also paused while received data is unparsed and memory is short. Otherwise it goes on, as a
         disconnect is only noticed once the data before it has been read or fits into the kernel's buffer.
         """
-        if self._is_input_ended or self._transport.is_closing():
+        if self._is_input_ended or self._socket.is_closing():
             return
         may_read_ahead = not self._pipeline.unparsed.length or self._owner.buffers.has_ample_room()
-        pause = self._is_writing_paused or not may_read_ahead
-        if pause == self._is_reading_paused:
-            return
-        self._is_reading_paused = pause
-        if pause:
-            self._transport.pause_reading()
-        else:
-            self._transport.resume_reading()
+        self._socket.set_reading(paused=self._is_writing_paused or not may_read_ahead)
 
     # Closing
 
@@ -315,7 +293,7 @@
 
         A client that does not read its responses is disconnected.
         """
-        if self._transport.get_write_buffer_size() > self._pipeline.waiting_bytes():
+        if self._socket.unsent_bytes() > self._pipeline.waiting_bytes():
             self.abort(CloseReason.MEMORY_SHORT)
         else:
             self._reject_pending(Response(413, b"memory is short"))
@@ -339,7 +317,7 @@
         """Write the error that ends the connection; all earlier requests must have been answered."""
         self._owner.tracer.record_close(self, rejected_with(rejection.response.status))
         self._end_input()
-        self._transport.write(render(rejection.response, close=True))
+        self._socket.write(render(rejection.response, close=True))
         self._close_when_written()
 
     def _close_when_written(self) -> None:
@@ -348,18 +326,17 @@
         Closing a socket with unread data, or before the rest of a message arrives, would reset the connection
         and lose the responses. In that case only the node's sending side is closed.
         """
-        if self._pipeline.has_partial_message or is_readable(self._socket):
+        if self._pipeline.has_partial_message or self._socket.is_readable():
             self._is_input_ended = True
-            self._transport.pause_reading()
-            self._transport.write_eof()
+            self._socket.close_sending_side()
         else:
-            self._transport.close()
+            self._socket.close()
 
     def _close(self, reason: CloseReason) -> None:
         """Close a connection that has no pending response."""
         self._owner.tracer.record_close(self, reason)
         self._is_draining = True
-        self._transport.close()
+        self._socket.close()
         self._update_state()
 
     def abort(self, reason: CloseReason) -> None:
@@ -368,14 +345,13 @@
         self._is_input_ended = True
         # The socket must no longer count as in use, and `connection_lost` is only called later.
         self._owner.connection_closed(self)
-        self._transport.abort()
+        self._socket.abort()
 
     # For the log
 
     def peer_name(self) -> str:
         """Return the client's `host:port`."""
-        address = self._transport.get_extra_info("peername")
-        return format_address(address[:2]) if address else "unknown"
+        return self._socket.peer_name()
 
     def state_name(self) -> str:
         """Return the name of the connection's state."""
