--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -9,8 +9,9 @@
 import pytest
 
 from tests.client_helpers import open_connection_count, open_request_count, ready_node, running_node
-from tests.peers import Server, node_environment, render_response, request, run, until
+from tests.peers import HANG, Server, node_environment, render_response, request, run, until
 from workspond.downstream import turn_scheduler
+from workspond.downstream.client_connection import MAX_READ_AHEAD_BYTES
 
 PIPELINED_COUNT = 20  # more requests than the node queues
 
@@ -79,6 +80,22 @@
     run(test())
 
 
+def test_a_client_that_sends_too_much_ahead_gets_errors(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with node_environment(tmp_path, Server(default=HANG)) as environment:
+            client = await environment.client()
+            padding = "x" * 1000
+            count = 2 * MAX_READ_AHEAD_BYTES // len(padding)
+            requests = (request(f"{number}", extra=f"X-Pad: {padding}\r\n") for number in range(count))
+            client.write(b"".join(requests))
+            statuses = [(await client.read()).status]
+            while statuses[-1] == 504:
+                statuses.append((await client.read()).status)
+            assert len(statuses) > 1 and statuses[-1] == 413
+
+    run(test())
+
+
 FIRST_REQUEST = request("first")
 INCOMPLETE_REQUEST = request("second", "pay", body=b"whole")[:-2]
 INVALID_TAILS = {
