--- a/tests/test_memory_of_many_clients.py
+++ b/tests/test_memory_of_many_clients.py
@@ -61,25 +61,28 @@
         client.writer.close()
 
 
+async def play_clients(folder: Path, servers: list[Server], render: Callable[[int], bytes]) -> float:
+    """Have all clients send what is rendered for each, and return the peak of resident memory in MB."""
+    async with (
+        node_environment(
+            folder, *servers, start=False, sockets=DESCRIPTORS, memory_mb=MEMORY_MB
+        ) as environment,
+        sampled_program(environment) as sampler,
+    ):
+        for _ in range(ROUNDS):
+            clients = (send_and_read(environment, render(client)) for client in range(CLIENT_COUNT))
+            await asyncio.gather(*clients)
+        assert await is_ready(*environment.address)
+        return sampler.peak_resident_mb()
+
+
 def test_resident_memory_stays_within_the_limit_while_servers_stop_in_long_responses(tmp_path: Path) -> None:
     """Guards against a node that is killed for the responses that its servers have not completed."""
 
     async def test() -> None:
         unfinished = render_response(200, b"x" * MAX_BODY_BYTES)[:-1]
         servers = [Server(default=unfinished, name=f"s{number}") for number in range(MANY_SERVERS)]
-        async with (
-            node_environment(
-                tmp_path, *servers, start=False, sockets=DESCRIPTORS, memory_mb=MEMORY_MB
-            ) as environment,
-            sampled_program(environment) as sampler,
-        ):
-            for _ in range(ROUNDS):
-                clients = (
-                    send_and_read(environment, short_request(client)) for client in range(CLIENT_COUNT)
-                )
-                await asyncio.gather(*clients)
-            assert await is_ready(*environment.address)
-            assert sampler.peak_resident_mb() < MEMORY_MB
+        assert await play_clients(tmp_path, servers, short_request) < MEMORY_MB
 
     run(test())
 
@@ -90,16 +93,6 @@
 
     async def test() -> None:
         servers = [Server(name=f"s{number}") for number in range(SERVER_COUNT)]
-        async with (
-            node_environment(
-                tmp_path, *servers, start=False, sockets=DESCRIPTORS, memory_mb=MEMORY_MB
-            ) as environment,
-            sampled_program(environment) as sampler,
-        ):
-            for _ in range(ROUNDS):
-                clients = (send_and_read(environment, render(client)) for client in range(CLIENT_COUNT))
-                await asyncio.gather(*clients)
-            assert await is_ready(*environment.address)
-            assert sampler.peak_resident_mb() < MEMORY_MB
+        assert await play_clients(tmp_path, servers, render) < MEMORY_MB
 
     run(test())
