Soak: count what a slow agent has written at once, not a pause later

Trace: the server had drained, left and come back; the agent was slow, and the soak recorded its answer 50 ms after the last piece, while the node used the list at once. So the node was right: it knew of the server's return. The pause now comes before each piece; the new test failed before.

--- a/soak/discovery.py
+++ b/soak/discovery.py
@@ -232,8 +232,8 @@
         await asyncio.sleep(SLOW_ANSWER_DELAY_S)
         size = len(data) // SLOW_ANSWER_PIECES + 1
         for start in range(0, len(data), size):
-            writer.write(data[start : start + size])
             await asyncio.sleep(SLOW_ANSWER_DELAY_S / SLOW_ANSWER_PIECES)
+            writer.write(data[start : start + size])
 
     def _record_written(self, writer: asyncio.StreamWriter, entries: list[Entry]) -> None:
         if writer.is_closing():
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,10 +12,12 @@
 import pytest
 
 from soak.clients import NodeView
+from soak.discovery import Agent, AgentMode, EndpointRegistry, Entry, Status
 from soak.node_process import LaunchOptions, NodeProcess
 from soak.oracle import Oracle
 from soak.schedule import Fault, FaultKind, Schedule, ScheduleError, draw_schedule, read_schedule
 from soak.shrink import shrink
+from standins.messages import receive_message, render_head
 from tests.broken_nodes import BROKEN_NODES, ROOT, BrokenNode
 
 SEEDS = (1, 2, 3, 4, 5)  # each broken node must be detected with at least one of them
@@ -121,6 +123,26 @@
     assert plays <= 200
 
 
+def test_what_a_slow_agent_has_written_counts_as_told_at_once() -> None:
+    """Guards against a violation by a node that acts on a list before the soak counts it as told."""
+
+    async def test() -> None:
+        oracle = Oracle(asyncio.get_running_loop().time, tuple, 50.0)
+        registry = EndpointRegistry()
+        registry.entries["s0"] = Entry("s0", "127.0.0.1:1", 0, Status.DRAINING, 0, None)
+        agent = Agent(registry, oracle, node=0)
+        await agent.start()
+        agent.set_mode(AgentMode.SLOW)
+        reader, writer = await asyncio.open_connection("127.0.0.1", agent.port)
+        writer.write(render_head("GET", "/api/targets", {}))
+        await receive_message(reader)
+        assert oracle._notifications.inactive_from_s(0, "s0") is not None
+        writer.close()
+        await agent.stop()
+
+    asyncio.run(test())
+
+
 def test_a_process_that_ends_just_before_sigkill_is_not_a_crash(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
