--- a/workspond/downstream/turn_scheduler.py
+++ b/workspond/downstream/turn_scheduler.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-MAX_TURNS_S = 0.002  # in one iteration of the event loop, apart from the last turn
+MAX_TURNS_S = 0.002  # limits each iteration of the event loop; the last turn may pass it
 
 
 class WaitingConnection(Protocol):
--- a/workspond/http/request.py
+++ b/workspond/http/request.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-OBJECT_BYTES = 512  # of a request and its values, without what can be long
+OBJECT_BYTES = 512  # estimates a request without what can be long
 
 
 @dataclass(slots=True)
--- a/workspond/http/request_parser.py
+++ b/workspond/http/request_parser.py
@@ -64,7 +64,7 @@
         self._classes = classes
         self._internal_path_response = internal_path_response
         self._parser = httptools.HttpRequestParser(self)
-        self._body = SegmentedBuffer()  # of the incomplete message, empty between messages
+        self._body = SegmentedBuffer()  # holds the incomplete body, empty between messages
         self._messages: list[ParsedMessage] = []  # holds the messages that the current `feed` completes
         self.has_partial_message = False
         self.is_finished = False
--- a/workspond/http/response.py
+++ b/workspond/http/response.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
-OBJECT_BYTES = 128  # of a response, without its body
+OBJECT_BYTES = 128  # estimates a response without its body
 
 
 @dataclass(slots=True)
--- a/workspond/upstream/connection.py
+++ b/workspond/upstream/connection.py
@@ -78,7 +78,7 @@
         self._is_open = False
         self._is_writing_paused = False
         self._parser = ResponseParser(RESPONSE_RULES)
-        self._reported_bytes = 0  # of an incomplete response, as last reported to the owner
+        self._reported_bytes = 0  # the length of the incomplete response, as last reported
 
     # Callbacks of the transport
 
@@ -164,7 +164,7 @@
         self._owner.remove(self)
         self._attempt = None
         self.report_buffer_use()
-        self._parser.close()  # at once, as the event loop only reports the loss of the connection later
+        self._parser.close()  # the event loop only reports the loss of the connection later
         if self._is_open:
             self._transport.abort()
 
