--- a/review/stand_ins_2/harness.py
+++ b/review/stand_ins_2/harness.py
@@ -98,7 +98,7 @@
         self.name = name
         self.port = 0
         self.writers: set[asyncio.StreamWriter] = set()
-        self._server: asyncio.Server | None = None
+        self.server: asyncio.Server | None = None
 
     @property
     def address(self) -> str:
@@ -107,8 +107,8 @@
 
     async def start(self) -> None:
         """Listen, on the same port as before if there was one."""
-        self._server = await asyncio.start_server(self._accept, HOST, self.port, limit=1 << 20)
-        self.port = self._server.sockets[0].getsockname()[1]
+        self.server = await asyncio.start_server(self._accept, HOST, self.port, limit=1 << 20)
+        self.port = self.server.sockets[0].getsockname()[1]
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
@@ -128,8 +128,8 @@
 
     def close(self, *, reset: bool = False) -> None:
         """Stop listening and end all connections, with resets if wanted."""
-        if self._server is not None:
-            self._server.close()
+        if self.server is not None:
+            self.server.close()
         for writer in list(self.writers):
             if reset:
                 reset_on_close(writer)
@@ -145,6 +145,8 @@
         self.entries: dict[str, dict[str, Any]] = {}
         self.changed: dict[str, int] = {}
         self.silent = False  # if set, calls are read and not answered until it is cleared
+        self.delay_s = 0.0  # the time from the answer's making to its writing, for a slow discovery
+        self.told: dict[tuple[str, str], float] = {}  # when a name and status was first written
         self.wake = asyncio.Event()
 
     def set(self, *entries: dict[str, Any], quiet: bool = False) -> None:
@@ -177,7 +179,7 @@
             if "index" not in query:
                 while self.silent:
                     await self.wake.wait()
-                writer.write(response(200, json.dumps(self.whole()).encode()))
+                await self.answer(writer, self.whole())
                 continue
             index = int(query["index"][0])
             end_s = time.monotonic() + int(query.get("wait", ["0"])[0]) / 1000.0
@@ -186,8 +188,21 @@
                     async with asyncio.timeout(None if self.silent else max(0.0, end_s - time.monotonic())):
                         await self.wake.wait()
             changes = [self.entries[name] for name, at in self.changed.items() if at > index]
-            body = {"index": self.index, "snapshot": False, "endpoints": changes}
-            writer.write(response(200, json.dumps(body).encode()))
+            await self.answer(writer, {"index": self.index, "snapshot": False, "endpoints": changes})
+
+    async def answer(self, writer: asyncio.StreamWriter, body: dict[str, Any]) -> None:
+        """Write an answer as it was made, `delay_s` later."""
+        data = response(200, json.dumps(body).encode())
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        if writer.is_closing():
+            return
+        writer.write(data)
+        for entry in body["endpoints"]:
+            self.told.setdefault((entry["name"], entry["status"]), time.monotonic())
+        if body["endpoints"]:
+            told = " ".join(f"{entry['name']}={entry['status']}" for entry in body["endpoints"])
+            self.case.record.write(f"{self.name}: wrote index={body['index']} {told}")
 
 
 @dataclass(slots=True)
@@ -345,6 +360,7 @@
         self.known: dict[str, Any] | None = None
         self.port = 0
         self.process: asyncio.subprocess.Process | None = None
+        self.started_at_s = 0.0  # of the last process
         self.config = case.folder / f"{name}.json"
         self.log_path = case.folder / f"{name}.log"
 
@@ -392,6 +408,7 @@
                 stderr=log,
                 start_new_session=True,
             )
+        self.started_at_s = time.monotonic()
         self.case.processes.append(self.process)
         self.case.record.write(f"{self.name}: started, process {self.process.pid}")
         end_s = time.monotonic() + limit_s
@@ -421,6 +438,12 @@
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
 
+    async def kill(self) -> None:
+        """Send SIGKILL and wait for the end."""
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
+            await self.process.wait()
+
     def resident_mb(self) -> float:
         """Return the resident memory, 0 if the process has ended."""
         if self.process is None:
@@ -465,6 +488,7 @@
     arrivals: list[Arrival] = field(default_factory=list)
     results: list[Result] = field(default_factory=list)
     listeners: list[Listener] = field(default_factory=list)
+    servers: dict[str, Server] = field(default_factory=dict)
     classes: dict[str, RequestClass] = field(default_factory=dict)
     last_id: int = 0
 
@@ -566,6 +590,7 @@
         """Start a server."""
         server = Server(self, name, **options)
         self.listeners.append(server)
+        self.servers[name] = server
         await server.start()
         return server
 
