--- a/review/stand_ins_2/harness.py
+++ b/review/stand_ins_2/harness.py
@@ -27,7 +27,8 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+# The script `run.sh` makes 1 of BROKEN, and 2 of every other status, such as that of an uncaught exception.
+HELD, BROKEN, NOT_RUN = 0, 10, 2
 LINGER_RESET = struct.pack("ii", 1, 0)
 
 
@@ -618,7 +619,7 @@
 
 
 def main(record_path: Path, play: Callable[[Case], Coroutine[Any, Any, str | None]]) -> None:
-    """Play a case; `play` returns what broke the rule, or None. Exits with 0, 1 or 2."""
+    """Play a case; `play` returns what broke the rule, or None. Exits with HELD, BROKEN or NOT_RUN."""
 
     async def run() -> int:
         case = Case(record_path)
