Log which endpoint list a node applies, with its kind and version

Change: a line for each list that changes something or leaves the node without servers: kind, version, entries, removed servers, servers in service.

--- a/workspond/node.py
+++ b/workspond/node.py
@@ -201,8 +201,21 @@
         change = self._endpoints.apply(endpoints, kind)
         for server_id in change.removed_ids:
             self._upstream.close_idle(server_id)
+        self._log_applied_list(endpoints, kind, len(change.removed_ids))
         self._policy.handle(change.update)
 
+    def _log_applied_list(self, endpoints: EndpointList, kind: UpdateKind, removed_count: int) -> None:
+        """Log which list the node uses from now on, unless the list has changed nothing."""
+        if endpoints.endpoints or removed_count or not self._endpoints.addresses:
+            log.info(
+                "endpoint list applied: kind=%s version=%d entries=%d removed=%d in_service=%d",
+                kind.value,
+                endpoints.index,
+                len(endpoints.endpoints),
+                removed_count,
+                len(self._endpoints.in_service),
+            )
+
     # Methods of ActionExecutor
 
     def execute(self, action: PolicyAction) -> None:
