Tests: the scripted discovery agent has a response delay, in place of two slow agents

Two test files had a class each whose only job was to wait before each response, and the tests of a new process beside a slow agent need the same. The stand-in has the delay as an attribute now, as the scripted server has. Delays, bounds and checks are the same.

--- a/standins/scripted.py
+++ b/standins/scripted.py
@@ -79,6 +79,7 @@
         self.endpoints: list[dict[str, Any]] = []  # entries of the complete list
         self.updates: asyncio.Queue[bytes] = asyncio.Queue()  # responses to future watches
         self.faulty_responses: list[bytes] = []  # sent in place of the next responses, in order
+        self.response_delay_s = 0.0  # the time that each response takes, except the faulty ones
         self.may_respond = asyncio.Event()  # complete lists are held back while it is clear
         self.may_respond.set()
 
@@ -99,6 +100,7 @@
         """Return the complete list, or for a watch the next update, once one is published."""
         if self.faulty_responses:
             return self.faulty_responses.pop(0)
+        await asyncio.sleep(self.response_delay_s)
         if "index=" not in message.target:
             await self.may_respond.wait()
             return self.render_list(self.endpoints, complete=True)
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -15,7 +15,6 @@
 from tests.peers import (
     HANG,
     WAIT_TIMEOUT_S,
-    Message,
     NodeEnvironment,
     ScriptedDiscoveryAgent,
     Server,
@@ -116,20 +115,13 @@
 RELOAD_INTERVAL_S = 0.2
 
 
-class SlowAgent(ScriptedDiscoveryAgent):
-    """A discovery agent that answers each call after `RESPONSE_DELAY_S`."""
-
-    async def script(self, message: Message) -> bytes:
-        await asyncio.sleep(RESPONSE_DELAY_S)
-        return await super().script(message)
-
-
 def test_an_update_arrives_during_reloads_in_quick_succession(tmp_path: Path) -> None:
     """Each reload once dropped the call in flight, so that responses after 0.5 s were never received."""
 
     async def test() -> None:
         old, new = Server(name="old"), Server(name="new")
-        agent = SlowAgent()
+        agent = ScriptedDiscoveryAgent()
+        agent.response_delay_s = RESPONSE_DELAY_S
         await new.start()
         await agent.start()
         async with node_environment(tmp_path, old) as environment:
--- a/tests/test_slow_endpoint_lists.py
+++ b/tests/test_slow_endpoint_lists.py
@@ -129,19 +129,12 @@
     return head + b"\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n"
 
 
-class LateAgent(ScriptedDiscoveryAgent):
-    """A discovery agent whose responses begin well after the timeout of the call."""
-
-    async def script(self, message: Message) -> bytes:
-        await asyncio.sleep(RESPONSE_DELAY_S)
-        return await super().script(message)
-
-
 def test_responses_that_begin_after_the_timeout_are_used_and_followed_by_watches(tmp_path: Path) -> None:
     """Each such call was once abandoned, so the node was never ready."""
 
     async def test() -> None:
-        server, new, agent = Server(), Server(name="new"), LateAgent()
+        server, new, agent = Server(), Server(name="new"), ScriptedDiscoveryAgent()
+        agent.response_delay_s = RESPONSE_DELAY_S
         await new.start()
         async with unstarted_node(agent, server, tmp_path) as environment:
             agent.endpoints = [server.entry()]
