--- a/soak/node_process.py
+++ b/soak/node_process.py
@@ -22,10 +22,9 @@
 from soak.shim import ShimControl
 from standins.checkout import node_command
 from standins.node_config import node_config
-from standins.readiness import is_ready
+from standins.readiness import wait_until_ready
 
 READY_TIMEOUT_S = 10.0  # limit of the time from the start of a process to the first 200 of /-/ready
-READY_POLL_S = 0.05
 ACCEPT_AFTER_TERM_S = 0.3  # clients keep connecting for this long after SIGTERM
 KILL_AFTER_TERM_S = DEADLINE_S + 0.7
 FIRST_RELOAD_S = 1.0  # least time from the start of a process to the first SIGHUP
@@ -160,11 +159,7 @@
 
     async def _wait_until_ready(self) -> None:
         try:
-            async with asyncio.timeout(READY_TIMEOUT_S):
-                while True:
-                    if await is_ready(*self.view.address):
-                        return
-                    await asyncio.sleep(READY_POLL_S)
+            await wait_until_ready(*self.view.address, READY_TIMEOUT_S)
         except TimeoutError:
             self._report_crash(f"not ready within {READY_TIMEOUT_S:.0f} s")
 
--- a/standins/listener.py
+++ b/standins/listener.py
@@ -27,8 +27,8 @@
         """Serve one connection, which is closed when this method returns."""
 
     async def start(self, backlog: int = BACKLOG) -> None:
-        """Listen on a free port of 127.0.0.1."""
-        self._server = await asyncio.start_server(self._serve, HOST, 0, backlog=backlog)
+        """Listen on 127.0.0.1, on a free port, or after `stop` on the same port as before."""
+        self._server = await asyncio.start_server(self._serve, HOST, self.port, backlog=backlog)
         self.port = self._server.sockets[0].getsockname()[1]
         self.address = f"{HOST}:{self.port}"
 
--- a/standins/readiness.py
+++ b/standins/readiness.py
@@ -8,6 +8,7 @@
 from standins.messages import read_head, render_head
 
 READY_PATH = "/-/ready"
+CHECK_INTERVAL_S = 0.02
 
 
 async def is_ready(host: str, port: int) -> bool:
@@ -20,3 +21,12 @@
         finally:
             writer.close()
     return False
+
+
+async def wait_until_ready(host: str, port: int, timeout_s: float) -> None:
+    """Wait until the node's ready check succeeds; raises `TimeoutError` after `timeout_s`."""
+    async with asyncio.timeout(timeout_s):
+        while True:
+            if await is_ready(host, port):
+                return
+            await asyncio.sleep(CHECK_INTERVAL_S)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -24,7 +24,7 @@
     ScriptedListener,
     ScriptedServer,
 )
-from standins.sockets import free_port
+from standins.sockets import free_port, hanging_listener
 from tests.test_wire import SETTINGS
 from workspond.config import read_config
 from workspond.node import Node
@@ -41,6 +41,7 @@
     "ScriptedListener",
     "Server",
     "free_port",
+    "hanging_listener",
     "node_environment",
     "read_message",
     "render_response",
@@ -131,6 +132,10 @@
     clients: list[Client] = field(default_factory=list)
     processes: list[asyncio.subprocess.Process] = field(default_factory=list)
 
+    def write_config(self, **changes: Any) -> None:
+        """Write the configuration file again, with the new value of each changed key."""
+        self.path.write_text(json.dumps(self.config | changes))
+
     async def start_node(self) -> None:
         """Start a node in this process with the current configuration file."""
         loop = asyncio.get_running_loop()
@@ -215,9 +220,8 @@
         settings=settings(**changes),
         known=endpoint_list(1, agent.endpoints if has_cached_list else [], complete=True),
     )
-    path = folder / "config.json"
-    path.write_text(json.dumps(config))
-    environment = NodeEnvironment(config, path, agent, list(servers))
+    environment = NodeEnvironment(config, folder / "config.json", agent, list(servers))
+    environment.write_config()
     if start:
         await environment.start_node()
     try:
--- a/tests/program.py
+++ b/tests/program.py
@@ -8,7 +8,7 @@
 import sys
 from pathlib import Path
 
-from standins.readiness import is_ready
+from standins.readiness import wait_until_ready
 from tests.peers import WAIT_TIMEOUT_S, NodeEnvironment
 from tests.test_wire import ROOT
 from workspond.address import Address, parse_address
@@ -33,11 +33,7 @@
 
     async def wait_until_ready(self) -> None:
         """Wait until the program's ready check succeeds."""
-        async with asyncio.timeout(WAIT_TIMEOUT_S):
-            while True:
-                if await is_ready(*self.environment.address):
-                    return
-                await asyncio.sleep(CONNECT_INTERVAL_S)
+        await wait_until_ready(*self.environment.address, WAIT_TIMEOUT_S)
 
     async def wait_until_refusing(self) -> None:
         """Wait until the program refuses connections because its listener is closed."""
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import json
 import resource
 import signal
 import socket
@@ -166,7 +165,7 @@
 
             # The node must have kept a descriptor free to open the new configuration file.
             await idle.connect(limit + 100)
-            environment.path.write_text(json.dumps(environment.config | {"discovery": other_agent.address}))
+            environment.write_config(discovery=other_agent.address)
             program.process.send_signal(signal.SIGHUP)
             async with asyncio.timeout(MAX_RELOAD_LATENCY_S):
                 await until(lambda: other_agent.watches() >= 1)
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -6,7 +6,6 @@
 import contextlib
 import errno
 import functools
-import json
 import os
 import resource
 import signal
@@ -149,7 +148,7 @@
         await new_agent.start()
         async with node_environment(tmp_path, Server(), start=False) as environment:
             program = await start_program(environment)
-            environment.path.write_text(json.dumps(environment.config | {"discovery": new_agent.address}))
+            environment.write_config(discovery=new_agent.address)
             with no_free_descriptor(program.process.pid):
                 program.process.send_signal(signal.SIGHUP)
                 await asyncio.sleep(SHORTAGE_DURATION_S)
--- a/tests/test_ready.py
+++ b/tests/test_ready.py
@@ -4,45 +4,42 @@
 
 import asyncio
 import contextlib
-import socket
 import time
 from collections.abc import AsyncIterator
 from pathlib import Path
 
 import pytest
 
-from tests.peers import WAIT_TIMEOUT_S, Client, ScriptedDiscoveryAgent, Server, node_environment, run
+from standins.readiness import wait_until_ready
+from tests.peers import (
+    WAIT_TIMEOUT_S,
+    ScriptedDiscoveryAgent,
+    Server,
+    hanging_listener,
+    node_environment,
+    run,
+)
 from tests.program import read_listen_address, spawn
-from workspond.address import parse_address
+from workspond.address import format_address
 
 PROCESS_COUNT = 20  # a tenth of a deployment of 200 nodes
 READY_WITHIN_S = 10.0
 READY_FRACTION = 0.9  # the fraction of the processes that must be ready within READY_WITHIN_S
-READY_CHECK_INTERVAL_S = 0.02
 
 
 @contextlib.asynccontextmanager
-async def discovery_state(agent: ScriptedDiscoveryAgent, state: str) -> AsyncIterator[None]:
-    """Put the discovery agent into a state while the context is active."""
-    if state == "does not answer":
-        agent.may_respond.clear()
-    elif state != "up":
-        agent._server.close()
-        await agent._server.wait_closed()
+async def agent_in_state(agent: ScriptedDiscoveryAgent, state: str) -> AsyncIterator[str]:
+    """Put the discovery agent into a state, and yield the address at which processes call it."""
     with contextlib.ExitStack() as stack:
-        if state == "connections hang":
-            address = parse_address(agent.address)
-            # One connection, which is never accepted, fills the backlog.
-            stack.enter_context(socket.create_server(address, backlog=0))
-            stack.enter_context(socket.create_connection(address))
-        yield
-
-
-async def wait_until_ready(client: Client) -> None:
-    while True:
-        if (await client.get("/-/ready")).status == 200:
-            return
-        await asyncio.sleep(READY_CHECK_INTERVAL_S)
+        match state:
+            case "does not answer":
+                agent.may_respond.clear()
+            case "down":
+                await agent.stop()
+            case "connections hang":
+                yield format_address(stack.enter_context(hanging_listener()))
+                return
+        yield agent.address
 
 
 async def time_to_ready_s(path: Path) -> float:
@@ -50,9 +47,7 @@
     started_at_s = time.monotonic()
     process = await spawn(path)
     try:
-        client = Client(*await asyncio.open_connection(*await read_listen_address(process)))
-        await wait_until_ready(client)
-        client.writer.close()
+        await wait_until_ready(*await read_listen_address(process), WAIT_TIMEOUT_S)
         return time.monotonic() - started_at_s
     finally:
         process.kill()
@@ -68,8 +63,9 @@
     async def test() -> None:
         async with (
             node_environment(tmp_path, Server(), start=False, membership_mode="pushed") as environment,
-            discovery_state(environment.agent, discovery),
+            agent_in_state(environment.agent, discovery) as agent_address,
         ):
+            environment.write_config(discovery=agent_address)
             async with asyncio.timeout(WAIT_TIMEOUT_S):
                 starts = [time_to_ready_s(environment.path) for _ in range(PROCESS_COUNT)]
                 times_s = sorted(await asyncio.gather(*starts))
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -4,9 +4,7 @@
 
 import asyncio
 import dataclasses
-import json
 import signal
-import socket
 import time
 from pathlib import Path
 
@@ -15,9 +13,9 @@
 from tests.peers import (
     HANG,
     WAIT_TIMEOUT_S,
-    NodeEnvironment,
     ScriptedDiscoveryAgent,
     Server,
+    hanging_listener,
     node_environment,
     request,
     run,
@@ -27,11 +25,6 @@
 from workspond.discovery import agent_client, watcher
 
 
-def write_config(environment: NodeEnvironment, agent: ScriptedDiscoveryAgent) -> None:
-    """Write a configuration that names another discovery agent."""
-    environment.path.write_text(json.dumps(environment.config | {"discovery": agent.address}))
-
-
 async def wait_for_log_line(program: Program, text: bytes) -> None:
     """Wait until the program logs a line with this text."""
     assert program.process.stderr is not None
@@ -62,7 +55,7 @@
             program.process.send_signal(signal.SIGHUP)
             await wait_for_log_line(program, b"the old configuration stays")
 
-            write_config(environment, other)
+            environment.write_config(discovery=other.address)
             program.process.send_signal(signal.SIGHUP)
             await until(lambda: len(other.received) == 2)
             watch = f"/api/targets?index=1&wait={watcher.WATCH_MS}"
@@ -73,7 +66,7 @@
             assert (await client.send_request("next")).status == 200  # on the same connection
             assert [message.request_id for message in new.received] == ["next"]
 
-            write_config(environment, environment.agent)  # back to the first agent
+            environment.write_config(discovery=environment.agent.address)  # back to the first agent
             program.process.send_signal(signal.SIGHUP)
             await until(lambda: environment.agent.watches() == 2)
             program.process.send_signal(signal.SIGTERM)
@@ -172,10 +165,7 @@
 
     async def test() -> None:
         server = Server()
-        with socket.socket() as listener, socket.socket() as queue_filler:
-            listener.bind(("127.0.0.1", 0))
-            listener.listen(0)  # one connection fills the backlog: the next handshake hangs
-            await asyncio.to_thread(queue_filler.connect, listener.getsockname())
+        with hanging_listener() as address:
             async with node_environment(tmp_path, server) as environment:
                 assert environment.node is not None
                 reasons: list[str] = []
@@ -186,7 +176,7 @@
                     on_failure(reason)
 
                 monkeypatch.setattr(environment.node, "discovery_call_failed", discovery_call_failed)
-                environment.node._discovery.change_address(listener.getsockname())
+                environment.node._discovery.change_address(address)
                 await until(lambda: sum("can't connect" in reason for reason in reasons) >= 2)
                 assert (await environment.send_request("a")).status == 200
 
--- a/tests/test_slow_endpoint_lists.py
+++ b/tests/test_slow_endpoint_lists.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import json
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 
@@ -55,7 +54,7 @@
     """Yield an environment whose node is not started and has no cached servers; its agent is `agent`."""
     await agent.start()
     async with node_environment(path, server, start=False, has_cached_list=False) as environment:
-        environment.path.write_text(json.dumps(environment.config | {"discovery": agent.address}))
+        environment.write_config(discovery=agent.address)
         yield environment
     await agent.stop()
 
--- a/tests/test_start_and_stop.py
+++ b/tests/test_start_and_stop.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import signal
 from pathlib import Path
 
@@ -74,9 +73,7 @@
 def test_a_listen_address_in_use_prints_one_line_and_exits_with_status_2(tmp_path: Path) -> None:
     async def test() -> None:
         async with node_environment(tmp_path, start=False) as environment:
-            environment.path.write_text(
-                json.dumps(environment.config | {"listen": environment.agent.address})
-            )
+            environment.write_config(listen=environment.agent.address)
             process = await spawn(environment.path)
             _, errors = await asyncio.wait_for(process.communicate(), WAIT_TIMEOUT_S)
             [line] = errors.decode().splitlines()
