--- a/tests/test_node_discovery.py
+++ b/tests/test_node_discovery.py
@@ -29,6 +29,7 @@
     render_response(200, b"[" * 100_000),
 ]
 MAX_UPDATE_LATENCY_S = 6.0
+MANY_CALLS = 1000  # more than a node makes while discovery is down in a test
 READY_CHECK = b"GET /-/ready HTTP/1.1\r\n\r\n"
 
 
@@ -167,13 +168,14 @@
         old, new = Server(name="old"), Server(name="new")
         await new.start()
         async with node_environment(tmp_path, old) as environment:
-            environment.agent.faulty_responses = [failure] * 3
+            environment.agent.faulty_responses = [failure] * MANY_CALLS
             await until(
                 lambda: environment.node is not None and len(environment.node._endpoints.in_service) == 1
             )
             assert (await environment.send_request("a")).status == 200
             assert [message.request_id for message in old.received] == ["a"]
             environment.agent.endpoints = [new.entry()]
+            environment.agent.faulty_responses.clear()
             await until(lambda: environment.agent.watches() == 1)
             assert (await environment.send_request("b")).status == 200
             assert [message.request_id for message in new.received] == ["b"]
