Soak: nodes that start again with an old list beside agents that answer late

It gave each new process the agent's present list as its cached one, no agent was late by more than 0.4 s, and what an agent had did not count as told before it was written.

Change: `known` is the list that the agent had when the last process ended. What a reachable agent has counts as told from the start of a process, and no longer once the agent falls silent before it has written a list.

The test of a process that ends just before SIGKILL gives its node an agent now, as the node asks it for the list; its check is the same.

--- a/soak/discovery.py
+++ b/soak/discovery.py
@@ -21,6 +21,7 @@
 # A node must poll a reachable agent within this time. It counts as notified of every change that the agent
 # has had for longer.
 NOTIFICATION_LIMIT_S = 6.0
+LATE_ANSWER_DELAY_S = 1.5  # time from the making of an answer to its writing
 SLOW_ANSWER_PIECES = 8
 SLOW_ANSWER_DELAY_S = 0.4  # delay before the first piece; the pauses between the pieces add up to the same
 
@@ -80,13 +81,14 @@
 
 
 class AgentMode(Enum):
-    """How an agent responds; the value is the name of the fault without its prefix."""
+    """How an agent responds; if an agent's fault sets it, the value is its name without the prefix."""
 
     NORMAL = "normal"
     SILENT = "silent"
     DOWN = "down"
     SLOW = "slow"
     FRAMING = "framing"
+    LATE = "late"
 
 
 UNREACHABLE_MODES = (AgentMode.SILENT, AgentMode.DOWN)
@@ -124,6 +126,7 @@
         self._mode = AgentMode.NORMAL
         self._reachable_from_s = 0.0
         self._pending: dict[str, PendingEntry] = {}
+        self._awaits_first_list = False  # whether the node's process has not been sent any list yet
         self._answers = 0  # alternates the framing of answers
         registry.agents.append(self)
 
@@ -147,6 +150,9 @@
         """Change how the agent responds from now on."""
         previous = self._mode
         self._mode = mode
+        if mode in UNREACHABLE_MODES and self._awaits_first_list:
+            # The process can't know any list now, so none counts from its start.
+            self._oracle.node_restarted(self._node)
         if mode is AgentMode.DOWN:
             self.reset_connections()
         if previous in UNREACHABLE_MODES and mode is not previous:
@@ -159,6 +165,18 @@
             if self._entries.get(name) != entry:
                 self.apply_change(entry, self._registry.changed_versions[name])
 
+    def record_process_start(self) -> None:
+        """Record a new process of the node as notified of the servers that are not active.
+
+        What a reachable agent has counts from the first moment of a process, whenever it is written.
+        """
+        self._awaits_first_list = True
+        if self._mode in UNREACHABLE_MODES:
+            return
+        for entry in self._entries.values():
+            if entry.status is not Status.ACTIVE:
+                self._record_notified(entry, self.loop.time())
+
     def record_overdue(self) -> None:
         """Record pending entries as notified if the node should have polled them by now."""
         if self._mode in UNREACHABLE_MODES:
@@ -226,6 +244,8 @@
         return ListAnswer(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks, keeps_open=True)
 
     async def _write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        if self._mode is AgentMode.LATE:
+            await asyncio.sleep(LATE_ANSWER_DELAY_S)
         if self._mode is not AgentMode.SLOW:
             writer.write(data)
             return
@@ -238,6 +258,7 @@
     def _record_written(self, writer: asyncio.StreamWriter, entries: list[Entry]) -> None:
         if writer.is_closing():
             return
+        self._awaits_first_list = False
         for entry in entries:
             self._pending.pop(entry.name, None)
             self._record_notified(entry, self.loop.time())
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,7 +13,7 @@
 from soak.faulty_clients import FaultyClient
 from soak.node_process import NodeProcess
 from soak.proxy import ProxyMode
-from soak.schedule import SERVER_KINDS, Fault, FaultKind
+from soak.schedule import RESTART_KINDS, SERVER_KINDS, Fault, FaultKind
 from soak.servers import ServerMode, SimulatedServer
 from soak.shim import NS_PER_S, Field, ShimControl
 
@@ -137,18 +137,9 @@
 
     async def _play_node_fault(self, fault: Fault, node: NodeProcess) -> None:
         match fault.kind:
-            case FaultKind.NODE_STOP:
+            case kind if kind in RESTART_KINDS:
                 async with node.restarting:  # no other restart until the new process is ready
-                    await node.stop()
-                    await node.start()
-            case FaultKind.NODE_SIGNALS:
-                async with node.restarting:
-                    await self._stop_with_signals(node)
-                    await node.start()
-            case FaultKind.NODE_KILL:
-                async with node.restarting:
-                    await node.kill()
-                    await node.start()
+                    await self._restart_node(fault, node)
             case FaultKind.NODE_PAUSE:
                 await self._pause(node, fault.lasts_s)
             case FaultKind.NODE_RELOAD:
@@ -162,6 +153,20 @@
             case _ if node.shim is not None:
                 await self._play_shim_fault(fault, node.shim)
 
+    async def _restart_node(self, fault: Fault, node: NodeProcess) -> None:
+        match fault.kind:
+            case FaultKind.NODE_STOP:
+                await node.stop()
+            case FaultKind.NODE_SIGNALS:
+                await self._stop_with_signals(node)
+            case _:
+                await node.kill()
+        if fault.kind is FaultKind.NODE_LATE_LIST:
+            await asyncio.sleep(fault.lasts_s)  # the endpoint list may change in this time
+            await self._start_with_late_list(node)
+        else:
+            await node.start()
+
     async def _stop_with_signals(self, node: NodeProcess) -> None:
         """Stop a node while it gets SIGHUP and SIGTERM in turn, the first ones shortly before the stop."""
         for _ in range(SIGNALS_BEFORE_STOP):
@@ -177,6 +182,13 @@
             node.reload(change_agent=True)
             node.signal(signal.SIGTERM)
 
+    async def _start_with_late_list(self, node: NodeProcess) -> None:
+        for agent in node.agents:
+            agent.set_mode(AgentMode.LATE)
+        await node.start()
+        for agent in node.agents:
+            agent.set_mode(AgentMode.NORMAL)
+
     async def _pause(self, node: NodeProcess, lasts_s: float) -> None:
         node.signal(signal.SIGSTOP)
         await asyncio.sleep(lasts_s)
--- a/soak/node_process.py
+++ b/soak/node_process.py
@@ -74,6 +74,7 @@
         self._options = options
         self._config_path = options.folder / f"n{view.number}.json"
         self._agent_index = 0  # index of the agent that the configuration names
+        self._cached_list = agents[0].complete_list()  # as the last process had it at its end
         self._process: asyncio.subprocess.Process | None = None
         self._expects_end = False
         self._tasks: set[asyncio.Task[None]] = set()
@@ -81,16 +82,20 @@
 
     # Configuration
 
+    @property
+    def _agent(self) -> Agent:
+        """The agent that the configuration names."""
+        return self.agents[self._agent_index]
+
     def _config(self) -> dict[str, Any]:
         host, port = self.view.address
-        agent = self.agents[self._agent_index]
         return node_config(
             f"n{self.view.number}",
             listen=f"{host}:{port}",
-            discovery=agent.address,
+            discovery=self._agent.address,
             seed=os.urandom(8).hex(),
             limits={"cores": 1.0, "memory_mb": MEMORY_LIMIT_MB, "sockets": DESCRIPTOR_LIMIT},
-            known=agent.complete_list(),
+            known=self._cached_list,
             settings=node_settings(self._options.replicas, self.view.number),
         )
 
@@ -129,6 +134,7 @@
         self._reloadable_from_s = math.inf
         self._write_valid_config()
         self._oracle.node_restarted(self.view.number)
+        self._agent.record_process_start()
         self._expects_end = False
         self._process = await self._start_process()
         if self._process.stderr is not None:
@@ -211,6 +217,7 @@
         if process is None:
             return
         self._expects_end = True
+        self._cached_list = self._agent.complete_list()
         process.send_signal(signal.SIGTERM)
         asyncio.get_running_loop().call_later(ACCEPT_AFTER_TERM_S, self._stop_connections)
         try:
@@ -231,6 +238,7 @@
         if process is None:
             return
         self._expects_end = True
+        self._cached_list = self._agent.complete_list()
         self._stop_connections()
         self.view.killed_at_s = asyncio.get_running_loop().time()
         process.kill()
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -23,6 +23,7 @@
     NODE_RELOADS = "node_reloads"  # SIGHUP repeatedly
     NODE_BAD_RELOAD = "node_bad_reload"  # SIGHUP with an invalid file
     NODE_SIGNALS = "node_signals"  # SIGHUP and SIGTERM in a series, and a new process once it has ended
+    NODE_LATE_LIST = "node_late_list"  # SIGKILL, and later a new process, which gets its first list late
     # A node's clock, system calls and log
     CLOCK_STEP = "clock_step"  # the wall clock steps forward or back
     ACCEPT_FAILS = "accept_fails"  # EMFILE, ENFILE, ECONNABORTED
@@ -60,8 +61,16 @@
 
 
 SERVER_KINDS = frozenset(kind for kind in FaultKind if kind.value.startswith(("server_", "proxy_")))
+# The faults that end a node's process and start a new one.
+RESTART_KINDS = frozenset(
+    (FaultKind.NODE_STOP, FaultKind.NODE_KILL, FaultKind.NODE_SIGNALS, FaultKind.NODE_LATE_LIST)
+)
 # Each of these is added to a run with this probability; the other kinds are drawn for each fault.
-PROBABILITY_PER_RUN = {FaultKind.NODE_SIGNALS: 0.5, FaultKind.CALLERS_CROWD: 0.3}
+PROBABILITY_PER_RUN = {
+    FaultKind.NODE_SIGNALS: 0.5,
+    FaultKind.CALLERS_CROWD: 0.3,
+    FaultKind.NODE_LATE_LIST: 0.5,
+}
 # A node can't answer in time while it is paused or can't accept or open connections. Longer faults of these
 # kinds would make answers so late that they count as lost.
 MAX_DURATION_S = {FaultKind.NODE_PAUSE: 0.15, FaultKind.SOCKET_FAILS: 1.0, FaultKind.ACCEPT_FAILS: 0.4}
--- a/tests/broken_nodes.py
+++ b/tests/broken_nodes.py
@@ -188,6 +188,13 @@
             ),
         ),
     ),
+    BrokenNode(
+        "the cached list is used before a slow agent can answer",
+        Rule.DRAIN,
+        (FaultKind.NODE_LATE_LIST, FaultKind.SERVER_DRAIN),
+        (Patch(NODE, "FIRST_LIST_TIMEOUT_S = 3.0\n", "FIRST_LIST_TIMEOUT_S = 1.0\n"),),
+        faults_per_s=1.0,
+    ),
     BrokenNode(
         "connections of aborted attempts are left open",
         Rule.DUPLICATE,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -143,6 +143,25 @@
     asyncio.run(test())
 
 
+@pytest.mark.parametrize("mode", [AgentMode.NORMAL, AgentMode.SILENT])
+def test_a_reachable_agents_list_counts_as_told_from_the_start_of_a_process(mode: AgentMode) -> None:
+    """Without this, the soak accepted a new process that sent to draining servers by an old list."""
+
+    async def test() -> None:
+        oracle = Oracle(asyncio.get_running_loop().time, tuple, 50.0)
+        registry = EndpointRegistry()
+        registry.entries["s0"] = Entry("s0", "127.0.0.1:1", 0, Status.DRAINING, 0, None)
+        agent = Agent(registry, oracle, node=0)
+        agent.set_mode(mode)
+        agent.record_process_start()
+        is_told = oracle._notifications.inactive_from_s(0, "s0") is not None
+        assert is_told == (mode is AgentMode.NORMAL)
+        agent.set_mode(AgentMode.DOWN)
+        assert oracle._notifications.inactive_from_s(0, "s0") is None
+
+    asyncio.run(test())
+
+
 def test_a_process_that_ends_just_before_sigkill_is_not_a_crash(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -169,9 +188,9 @@
     async def test() -> None:
         monkeypatch.setattr("soak.node_process.KILL_AFTER_TERM_S", 0.05)
         oracle = Oracle(asyncio.get_running_loop().time, tuple, 50.0)
-        node = NodeProcess(
-            oracle, NodeView(0, ("127.0.0.1", 1)), [], LaunchOptions(1, tmp_path, tmp_path, None)
-        )
+        agent = Agent(EndpointRegistry(), oracle, node=0)
+        view = NodeView(0, ("127.0.0.1", 1))
+        node = NodeProcess(oracle, view, [agent], LaunchOptions(1, tmp_path, tmp_path, None))
         node._process = ProcessEndingAtKill()  # type: ignore[assignment]
         await node.stop()
         assert not oracle.violations
