A new process waits for a late call only, a failed one leads to the cached list at once

Taken at first for starts beside a silent agent; that was wrong: the logs have 10,493 calls answered "status 503", and each of the 105 restarts took 3.3 s in place of 0.3.

Cause: waited 3 s whatever became of the first call.

Change: the cached list is used when a call fails and no late one is open, or 3 s after the start.

--- a/workspond/discovery/superseded_calls.py
+++ b/workspond/discovery/superseded_calls.py
@@ -18,6 +18,11 @@
         self._loop = loop
         self._clients: list[AgentClient] = []  # oldest first
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no superseded call may still be answered."""
+        return not self._clients
+
     def add(self, client: AgentClient) -> None:
         """Keep a client for up to `MAX_SUPERSEDED_S`, because its call may still be answered."""
         if len(self._clients) >= MAX_SUPERSEDED_CALLS:
--- a/workspond/discovery/watcher.py
+++ b/workspond/discovery/watcher.py
@@ -81,6 +81,11 @@
         self._last_response_at_ms = -math.inf  # time of the last usable response
         self._closed = False
 
+    @property
+    def awaits_late_response(self) -> bool:
+        """Whether a call that was superseded, because it is late, may still be answered."""
+        return not self._superseded.is_empty
+
     def subscribe(self) -> None:
         """Make the next call, unless one is in flight."""
         if not self._client.is_busy and not self._closed:
--- a/workspond/node.py
+++ b/workspond/node.py
@@ -49,9 +49,8 @@
 # Delay between a failed discovery call and the next one, if the policy does not decide when to subscribe.
 # The time limit for receiving updates starts as soon as the agent is reachable again, so the delay is short.
 RESUBSCRIBE_DELAY_S = 0.1
-# How long a new process waits for the first list of the agent before it uses the cached one, which may be far
-# out of date. An agent that answers slowly must be waited for, but beside a silent one the process must be
-# ready within 6 s, and its start takes a part of them.
+# How long a new process waits for the first list of the agent if no call fails, but the response is late.
+# Beside a silent agent the process must be ready within 6 s, and its start takes a part of them.
 FIRST_LIST_TIMEOUT_S = 3.0
 
 log = logging.getLogger("workspond")
@@ -94,7 +93,7 @@
             counters=self.counters,
         )
         self._discovery = EndpointWatcher(loop, config.discovery, self)
-        self._first_list_timer: asyncio.TimerHandle | None = None
+        self._awaits_first_list = True
         used_bytes = resident_bytes()
         max_connections = max_client_connections(
             self._descriptor_limit, fitting_client_connections(config.max_memory_mb, used_bytes)
@@ -111,10 +110,10 @@
     def start(self) -> None:
         """Start the policy and call discovery.
 
-        The node becomes ready when a server is in service. Until the agent has sent a list, that is possible
-        only after `FIRST_LIST_TIMEOUT_S`.
+        The node becomes ready when a server is in service. That needs a list: the agent's, or the cached one
+        once a call has failed or `FIRST_LIST_TIMEOUT_S` has passed.
         """
-        self._first_list_timer = self._loop.call_later(FIRST_LIST_TIMEOUT_S, self._apply_cached_list)
+        self._loop.call_later(FIRST_LIST_TIMEOUT_S, self._use_cached_list)
         self.counters.start_periodic_report(self._loop)
         start_usage_report(self._loop, self.resource_usage)
         self._policy.handle(NodeStarted())
@@ -185,13 +184,14 @@
 
     def endpoints_received(self, endpoints: EndpointList) -> None:
         """Apply a complete list or an incremental update from discovery."""
-        if self._first_list_timer is not None:
-            self._first_list_timer.cancel()
+        self._awaits_first_list = False
         kind = UpdateKind.COMPLETE if endpoints.complete else UpdateKind.INCREMENTAL
         self._update_endpoints(endpoints, kind)
 
     def discovery_call_failed(self, reason: str) -> None:
-        """Count and log a failed discovery call, and arrange for the next one."""
+        """Count and log a failed or late discovery call, and arrange for the next one."""
+        if not self._discovery.awaits_late_response:
+            self._use_cached_list()
         self.counters.increment(CountedEvent.DISCOVERY_FAILED, reason.partition(":")[0])
         log.info('discovery call failed: reason="%s"', reason)
         if self._config.settings.requires_subscription:
@@ -199,13 +199,15 @@
         else:
             self._loop.call_later(RESUBSCRIBE_DELAY_S, self._discovery.subscribe)
 
-    def _apply_cached_list(self) -> None:
-        """Use the cached list, because the agent has not sent one in time.
+    def _use_cached_list(self) -> None:
+        """Use the cached list, unless the node has a list already.
 
-        A failed call alone is no reason to use it: the agent may answer the next one, and the node is
-        expected to know from its first moment what the agent has.
+        It may be far out of date, and the node is expected to know from its first moment what the agent has.
+        So a call that is only late is no reason to use it.
         """
-        self._update_endpoints(self._config.cached_endpoints, UpdateKind.CACHED)
+        if self._awaits_first_list:
+            self._awaits_first_list = False
+            self._update_endpoints(self._config.cached_endpoints, UpdateKind.CACHED)
 
     def _update_endpoints(self, endpoints: EndpointList, kind: UpdateKind) -> None:
         change = self._endpoints.apply(endpoints, kind)
